--- /dev/null
+++ b/include/tarragonspar/config/configuration.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "tarragonspar/types/ids.hpp"
+#include "tarragonspar/types/units.hpp"
+
+namespace tarragonspar::config {
+
+/// @brief What operators state once and callers pick by name.
+struct profile {
+    std::string name;
+    tier urgency{};
+    std::chrono::milliseconds deadline{};
+    bool idempotent{true};
+    std::uint32_t max_output_tokens{512};
+    friend bool operator==(const profile&, const profile&) = default;
+};
+
+/// What kind of program answers at a backend server's address.
+enum class server_kind : std::uint8_t { engine, service };
+
+/// Whether a backend server may be given new work.
+enum class server_state : std::uint8_t { active, draining, retired };
+
+/// @brief A backend server as operators describe it.
+struct server {
+    server_id id;
+    std::string name;
+    std::string failure_domain;
+    std::string address; ///< `IP:port`
+    server_kind kind{server_kind::engine};
+    server_state state{server_state::active};
+    std::vector<std::string> offers; ///< model names, or service names
+    std::string hardware_class;      ///< servers of one class are expected to be equally fast
+    std::uint32_t slots{8};          ///< first guess of how many requests run side by side
+    bool checks_fencing{false};      ///< refuses orders that carry an old fencing number
+    friend bool operator==(const server&, const server&) = default;
+};
+
+/// @brief Limit on what one workspace may have queued and running at an owner.
+struct workspace_limit {
+    std::string workspace;
+    std::uint32_t max_in_system{0};
+    friend bool operator==(const workspace_limit&, const workspace_limit&) = default;
+};
+
+/// @brief A whole accepted configuration.
+struct configuration {
+    revision number;
+    std::map<std::string, profile> profiles;
+    std::map<server_id, server> servers;
+    std::map<std::string, workspace_limit> limits;
+    friend bool operator==(const configuration&, const configuration&) = default;
+};
+
+/// @brief JSON forms; reading throws `nlohmann::json::exception` on a wrong shape.
+void to_json(nlohmann::json& out, const profile& value);
+void from_json(const nlohmann::json& in, profile& value);
+void to_json(nlohmann::json& out, const server& value);
+void from_json(const nlohmann::json& in, server& value);
+void to_json(nlohmann::json& out, const workspace_limit& value);
+void from_json(const nlohmann::json& in, workspace_limit& value);
+void to_json(nlohmann::json& out, const configuration& value);
+void from_json(const nlohmann::json& in, configuration& value);
+
+/// @brief Names of the enumerators, as written in settings and JSON.
+[[nodiscard]] std::string_view to_string(server_kind value) noexcept;
+[[nodiscard]] std::string_view to_string(server_state value) noexcept;
+
+/// @brief Checks a configuration before it is accepted.
+/// @return one sentence per fault; empty when the configuration is sound
+[[nodiscard]] std::vector<std::string> find_faults(const configuration& value);
+
+} // namespace tarragonspar::config
--- /dev/null
+++ b/include/tarragonspar/dispatch/events.hpp
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "tarragonspar/config/configuration.hpp"
+#include "tarragonspar/routing/server_model.hpp"
+#include "tarragonspar/types/outcome.hpp"
+#include "tarragonspar/types/work.hpp"
+
+namespace tarragonspar::dispatch {
+
+/// A request reached the owner.
+struct arrived {
+    work_item work;
+};
+
+/// The holder of the dispatch right no longer wants the request to be dispatched.
+struct withdrawn {
+    request_id id;
+};
+
+/// A dispatch ended before its first byte was written; the request did not run.
+struct dispatch_failed {
+    request_id id;
+};
+
+/// The holder of the dispatch right refused the dispatch; the request did not run here.
+struct grant_refused {
+    request_id id;
+};
+
+/// The server sent the first token.
+struct first_token {
+    request_id id;
+    std::optional<token_count> cached; ///< prompt tokens that the server found in its cache
+};
+
+/// The server sent more tokens.
+struct progressed {
+    request_id id;
+    token_count generated; ///< since the first token
+};
+
+/// The server's part is over.
+struct ended {
+    request_id id;
+    bool whole{false};      ///< the whole answer was received
+    bool server_fault{true}; ///< if not whole: whether the server is to blame
+    token_count generated;
+};
+
+/// A load report of an owned server.
+struct reported {
+    server_id server;
+    routing::load_report report;
+};
+
+/// A cache event of an owned server.
+struct cache_changed {
+    server_id server;
+    std::uint64_t sequence{};
+    std::vector<block_hash> stored;
+    std::vector<block_hash> evicted;
+};
+
+/// The servers that this instance owns, with their present description.
+struct ownership_changed {
+    std::vector<config::server> owned;
+    std::vector<config::workspace_limit> limits;
+};
+
+/// @brief What an owner tells others about its work on one model, kept small.
+struct model_digest {
+    model_id model;
+    std::uint32_t free_slots{};           ///< requests it could dispatch at once
+    std::uint32_t slots{};                ///< sum of its windows
+    float queued_seconds{};               ///< predicted work waiting in all tiers
+    std::optional<tier> lowest_kept;      ///< least urgent tier that waits
+    std::uint32_t queued{};               ///< requests waiting
+};
+
+/// A peer's digest arrived.
+struct peer_reported {
+    instance_id peer;
+    std::vector<model_digest> models;
+};
+
+/// A peer is gone or is leaving; nothing is to be transferred to it.
+struct peer_gone {
+    instance_id peer;
+};
+
+/// The instance is leaving: queued work goes to peers.
+struct drain_requested {};
+
+/// Time has passed.
+struct ticked {};
+
+using event = std::variant<arrived, withdrawn, dispatch_failed, grant_refused, first_token,
+                           progressed, ended, reported, cache_changed, ownership_changed,
+                           peer_reported, peer_gone, drain_requested, ticked>;
+
+/// Dispatch a request; its slot is reserved until `ended` or `dispatch_failed`.
+struct start_dispatch {
+    request_id id;
+    server_id server;
+};
+
+/// Tell the holder of the dispatch right that the request was not run here.
+struct refuse {
+    request_id id;
+    reason why{reason::overloaded};
+    duration retry_after{};
+};
+
+/// Hand a queued request to a peer that can still serve it.
+struct transfer {
+    request_id id;
+    instance_id peer;
+};
+
+using effect = std::variant<start_dispatch, refuse, transfer>;
+
+} // namespace tarragonspar::dispatch
--- /dev/null
+++ b/include/tarragonspar/dispatch/scheduler.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+#include "tarragonspar/admission/tier_queue.hpp"
+#include "tarragonspar/dispatch/events.hpp"
+#include "tarragonspar/routing/estimates.hpp"
+
+namespace tarragonspar::dispatch {
+
+/// @brief Tunable parts of an owner's decisions.
+struct scheduler_options {
+    std::size_t max_queued{4096};            ///< requests waiting in one instance
+    admission::queue_options queue;
+    double reserve_decay_per_second{0.05};   ///< how fast the observed top-tier peak is forgotten
+    double max_reserve_share{0.34};          ///< part of the slots that low tiers can't fill
+    double length_quantile{0.6};             ///< of the answer's length, for feasibility
+    bool refuse_infeasible{true};            ///< refuse what can't finish in time before dispatch
+    bool transfer_to_peers{true};
+    duration transfer_wait{std::chrono::milliseconds{150}}; ///< expected wait worth a transfer
+};
+
+/// @brief A request that was given to a server.
+struct running_item {
+    work_item work;
+    server_id server;
+    time_point started;
+    time_point first_token_at{};
+    duration predicted_first_token{};
+    token_count predicted_output;
+    token_count computed;
+    token_count observed_tokens; ///< tokens already used for the decode estimate
+    time_point observed_at{};
+    bool window_was_full{false};
+    bool has_first_token{false};
+    int failed_dispatches{};
+};
+
+/// @brief Most top-tier requests seen side by side, forgotten slowly.
+struct peak_demand {
+    double peak{};
+    std::uint32_t present{};
+    time_point updated{};
+};
+
+/// @brief Waiting requests for one model or service.
+struct model_pool {
+    admission::tier_queue queue;
+    peak_demand top_tier;
+};
+
+/// @brief A peer's last digest, corrected by what was sent to it since.
+struct peer_state {
+    std::unordered_map<model_id, model_digest> models;
+    time_point heard{};
+};
+
+/// @brief Decisions of an owner: which request goes to which of its servers, and when.
+///
+/// Plain state; `step` is the only way to change it. The state holds no clock, thread or socket.
+struct scheduler {
+    scheduler_options options;
+    std::map<server_id, routing::server_model> servers;
+    std::map<model_id, model_pool> pools;
+    std::unordered_map<request_id, running_item> running;
+    std::unordered_map<request_id, model_id> queued_model;
+    std::unordered_map<workspace_id, std::uint32_t> in_system;
+    std::unordered_map<workspace_id, std::uint32_t> limits;
+    std::map<instance_id, peer_state> peers;
+    std::unordered_map<std::string, double> class_speed; ///< seconds per token by hardware class
+    routing::length_estimator lengths;
+    routing::retry_budget retries;
+    bool draining{false};
+};
+
+/// @brief Applies an event and appends what is to be done to `effects`.
+/// @par Complexity  linear in the owned servers and logarithmic in the queued requests; `ticked`
+/// is linear in the requests of the least urgent waiting tier
+/// @par Errors  none; an event about an unknown request is ignored, so events may be repeated
+void step(scheduler& target, const event& what, time_point now, std::vector<effect>& effects);
+
+/// @brief Digest of the work on each model, for peers.
+[[nodiscard]] std::vector<model_digest> make_digest(const scheduler& source, time_point now);
+
+/// @brief Requests that wait in all pools.
+[[nodiscard]] std::size_t queued_count(const scheduler& source);
+
+} // namespace tarragonspar::dispatch
--- /dev/null
+++ b/include/tarragonspar/settings/instance_settings.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "tarragonspar/config/configuration.hpp"
+#include "tarragonspar/settings/fault.hpp"
+
+namespace tarragonspar::settings {
+
+/// @brief An IP address and a port, as written in settings.
+struct endpoint {
+    std::string address{"127.0.0.1"};
+    std::uint16_t port{};
+};
+
+/// @brief Reads `IP:port`.
+/// @return nothing when the text has another shape or the port is out of range
+[[nodiscard]] std::optional<endpoint> parse_endpoint(std::string_view text);
+
+/// @brief Writes `IP:port`.
+[[nodiscard]] std::string to_string(const endpoint& value);
+
+/// @brief Limits on what callers may send.
+struct http_limits {
+    std::size_t max_header_bytes{16 * 1024};
+    std::size_t max_body_bytes{8 * 1024 * 1024};
+    std::size_t max_connections{20'000};
+    std::chrono::milliseconds idle_timeout{60'000};
+    std::chrono::milliseconds write_timeout{30'000};
+    std::size_t stream_buffer_events{256}; ///< answer events held for a slow reader
+};
+
+/// @brief Certificate files; empty paths mean that TLS is off.
+struct tls_files {
+    std::string certificate;
+    std::string private_key;
+    std::string authorities; ///< certificates that clients must be signed by, if any
+};
+
+/// @brief Another instance.
+struct peer {
+    instance_id id;
+    std::string failure_domain;
+    endpoint wire;
+    bool control{false}; ///< replica of the control group
+};
+
+/// @brief Where and how much to log.
+struct log_settings {
+    std::string level{"info"};
+    std::string folder; ///< empty: standard error
+    std::uint32_t max_file_megabytes{64};
+};
+
+/// @brief Settings of one `tarragond`.
+struct instance_settings {
+    instance_id id;
+    std::string name;
+    std::string failure_domain;
+    endpoint http;
+    endpoint wire;
+    std::uint32_t threads{2};
+    http_limits limits;
+    tls_files caller_tls;
+    tls_files wire_tls;
+    std::vector<std::string> operator_tokens; ///< empty: operators are not asked for one
+    std::string data_folder;                  ///< empty: this instance has no disk
+    bool control{false};
+    std::vector<peer> peers;
+    log_settings log;
+    std::chrono::milliseconds drain_timeout{30'000};
+    std::chrono::milliseconds leave_notice{200}; ///< health check fails this long before draining
+    config::configuration configuration;         ///< used until a newer one is known
+    bool test_hooks{false}; ///< allows tests to cut this instance off from others
+};
+
+/// @brief Settings that were read, and what was wrong with them.
+struct read_result {
+    instance_settings value;
+    std::vector<fault> faults;
+};
+
+/// @brief Reads settings from YAML text.
+/// @return all faults found; the value is meaningful only without any
+[[nodiscard]] read_result read_instance_settings(const std::string& text);
+
+/// @brief Reads a settings file.
+[[nodiscard]] read_result read_instance_settings_file(const std::string& file);
+
+/// @brief A configuration that was read, and what was wrong with it.
+struct configuration_result {
+    config::configuration value;
+    std::vector<fault> faults;
+};
+
+/// @brief Reads a configuration file as operators publish it.
+[[nodiscard]] configuration_result read_configuration(const std::string& text);
+
+} // namespace tarragonspar::settings
--- /dev/null
+++ b/src/admission/tier_queue.cpp
@@ -0,0 +1,180 @@
+#include "tarragonspar/admission/tier_queue.hpp"
+
+#include <algorithm>
+
+namespace tarragonspar::admission {
+
+namespace {
+
+/// Remembered workspaces above which idle ones are dropped.
+constexpr std::size_t max_idle_lanes = 64;
+
+} // namespace
+
+void tier_queue::push(const queued_item& item) {
+    const deadline_key key{item.work.deadline, item.work.id};
+    auto& lanes = tiers_.at(item.work.urgency.value);
+    auto& own = lanes.lanes[item.work.workspace];
+    if (own.order.empty()) {
+        own.virtual_time = std::max(own.virtual_time, lanes.virtual_now);
+        lanes.backlogged.emplace(own.virtual_time, item.work.workspace);
+    }
+    own.order.insert(key);
+    lanes.order.insert(key);
+    lanes.work_seconds += item.cost_seconds;
+    deadlines_.insert(key);
+    items_.emplace(item.work.id, item);
+}
+
+void tier_queue::unlink(const queued_item& item) {
+    const deadline_key key{item.work.deadline, item.work.id};
+    auto& lanes = tiers_.at(item.work.urgency.value);
+    auto& own = lanes.lanes.at(item.work.workspace);
+    own.order.erase(key);
+    lanes.order.erase(key);
+    deadlines_.erase(key);
+    lanes.work_seconds = lanes.order.empty() ? 0.0 : lanes.work_seconds - item.cost_seconds;
+    if (own.order.empty()) {
+        lanes.backlogged.erase({own.virtual_time, item.work.workspace});
+        forget_idle_lanes(lanes);
+    }
+}
+
+std::optional<queued_item> tier_queue::erase(const request_id& id) {
+    const auto found = items_.find(id);
+    if (found == items_.end()) {
+        return std::nullopt;
+    }
+    auto item = std::move(found->second);
+    items_.erase(found);
+    unlink(item);
+    return item;
+}
+
+void tier_queue::charge(const queued_item& item) {
+    auto& lanes = tiers_.at(item.work.urgency.value);
+    auto& own = lanes.lanes[item.work.workspace];
+    const auto waiting = !own.order.empty();
+    if (waiting) {
+        lanes.backlogged.erase({own.virtual_time, item.work.workspace});
+    }
+    own.virtual_time = std::max(own.virtual_time, lanes.virtual_now) + item.cost_seconds;
+    if (waiting) {
+        lanes.backlogged.emplace(own.virtual_time, item.work.workspace);
+    }
+    if (!lanes.backlogged.empty()) {
+        lanes.virtual_now = std::max(lanes.virtual_now, lanes.backlogged.begin()->first);
+    }
+}
+
+std::optional<queued_item> tier_queue::take(const request_id& id) {
+    auto item = erase(id);
+    if (item) {
+        charge(*item);
+    }
+    return item;
+}
+
+void tier_queue::forget_idle_lanes(tier_lanes& lanes) {
+    if (lanes.lanes.size() - lanes.backlogged.size() <= max_idle_lanes) {
+        return;
+    }
+    std::erase_if(lanes.lanes, [&](const auto& entry) {
+        return entry.second.order.empty() && (entry.second.virtual_time <= lanes.virtual_now ||
+                                              lanes.backlogged.empty());
+    });
+    if (lanes.lanes.size() - lanes.backlogged.size() <= max_idle_lanes) {
+        return;
+    }
+    std::erase_if(lanes.lanes, [](const auto& entry) { return entry.second.order.empty(); });
+}
+
+const queued_item* tier_queue::peek_tier(const tier_lanes& lanes) const {
+    if (lanes.backlogged.empty()) {
+        return nullptr;
+    }
+    const auto limit = lanes.backlogged.begin()->first + options_.fairness_slack_seconds;
+    const deadline_key* best = nullptr;
+    for (const auto& [virtual_time, workspace] : lanes.backlogged) {
+        if (virtual_time > limit) {
+            break;
+        }
+        const auto& first = *lanes.lanes.at(workspace).order.begin();
+        if (best == nullptr || first < *best) {
+            best = &first;
+        }
+    }
+    return &items_.at(best->second);
+}
+
+const queued_item* tier_queue::peek(tier max_urgency) const {
+    for (std::uint8_t level = 0; level <= max_urgency.value; ++level) {
+        if (const auto* item = peek_tier(tiers_.at(level)); item != nullptr) {
+            return item;
+        }
+    }
+    return nullptr;
+}
+
+const queued_item* tier_queue::find(const request_id& id) const {
+    const auto found = items_.find(id);
+    return found == items_.end() ? nullptr : &found->second;
+}
+
+std::optional<tier> tier_queue::lowest_tier() const {
+    for (int level = tier_count - 1; level >= 0; --level) {
+        if (!tiers_.at(level).order.empty()) {
+            return tier{static_cast<std::uint8_t>(level)};
+        }
+    }
+    return std::nullopt;
+}
+
+const queued_item* tier_queue::least_worthy(
+    const std::function<bool(const queued_item&, const queued_item&)>& less_worthy) const {
+    const auto lowest = lowest_tier();
+    if (!lowest) {
+        return nullptr;
+    }
+    const queued_item* worst = nullptr;
+    for (const auto& [deadline, id] : tiers_.at(lowest->value).order) {
+        const auto& item = items_.at(id);
+        if (worst == nullptr || less_worthy(item, *worst)) {
+            worst = &item;
+        }
+    }
+    return worst;
+}
+
+const queued_item* tier_queue::earliest_deadline() const {
+    return deadlines_.empty() ? nullptr : &items_.at(deadlines_.begin()->second);
+}
+
+void tier_queue::for_each(tier which,
+                          const std::function<void(const queued_item&)>& visit) const {
+    for (const auto& [deadline, id] : tiers_.at(which.value).order) {
+        visit(items_.at(id));
+    }
+}
+
+std::size_t tier_queue::size(tier which) const noexcept {
+    return tiers_.at(which.value).order.size();
+}
+
+double tier_queue::work_ahead(tier which) const noexcept {
+    double work = 0.0;
+    for (std::uint8_t level = 0; level <= which.value; ++level) {
+        work += tiers_.at(level).work_seconds;
+    }
+    return work;
+}
+
+std::size_t tier_queue::workspace_count() const noexcept {
+    std::size_t count = 0;
+    for (const auto& lanes : tiers_) {
+        count += lanes.lanes.size();
+    }
+    return count;
+}
+
+} // namespace tarragonspar::admission
--- /dev/null
+++ b/src/dispatch/scheduler.cpp
@@ -0,0 +1,542 @@
+#include "tarragonspar/dispatch/scheduler.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "tarragonspar/dispatch/detail/shedding.hpp"
+
+namespace tarragonspar::dispatch {
+
+namespace {
+
+/// Weight of a new sample in a hardware class's speed.
+constexpr double class_gain = 0.05;
+/// Decode samples needed before a server is compared with its class.
+constexpr std::uint32_t min_class_samples = 5;
+/// Tokens that make one decode sample.
+constexpr std::uint32_t decode_sample_tokens = 8;
+/// Dispatch attempts of one request that may fail before the first byte.
+constexpr int max_failed_dispatches = 3;
+
+void update_peak(peak_demand& target, int change, double decay_per_second, time_point now) {
+    const auto elapsed = to_seconds(now - target.updated);
+    target.peak = std::max<double>(target.present, target.peak * std::exp(-decay_per_second * elapsed));
+    target.updated = now;
+    target.present = static_cast<std::uint32_t>(std::max(0, static_cast<int>(target.present) + change));
+    target.peak = std::max<double>(target.peak, target.present);
+}
+
+bool is_top(const work_item& work) {
+    return work.urgency == tier{0};
+}
+
+model_pool& pool_of(scheduler& target, model_id model) {
+    const auto found = target.pools.find(model);
+    if (found != target.pools.end()) {
+        return found->second;
+    }
+    return target.pools
+        .emplace(model, model_pool{.queue = admission::tier_queue{target.options.queue},
+                                   .top_tier = {}})
+        .first->second;
+}
+
+void note_left(scheduler& target, const work_item& work, time_point now) {
+    const auto found = target.in_system.find(work.workspace);
+    if (found != target.in_system.end() && --found->second == 0) {
+        target.in_system.erase(found);
+    }
+    if (is_top(work)) {
+        update_peak(pool_of(target, work.model).top_tier, -1,
+                    target.options.reserve_decay_per_second, now);
+    }
+}
+
+/// Whether any owned server could ever serve the model.
+bool has_server(const scheduler& source, model_id model) {
+    return std::any_of(source.servers.begin(), source.servers.end(), [&](const auto& entry) {
+        return entry.second.state == config::server_state::active &&
+               routing::offers(entry.second, model);
+    });
+}
+
+bool over_limit(const scheduler& source, const work_item& work) {
+    const auto limit = source.limits.find(work.workspace);
+    if (limit == source.limits.end()) {
+        return false;
+    }
+    const auto present = source.in_system.find(work.workspace);
+    return present != source.in_system.end() && present->second >= limit->second;
+}
+
+void enqueue(scheduler& target, const work_item& work, int failed_dispatches) {
+    auto& pool = pool_of(target, work.model);
+    pool.queue.push({.work = work,
+                     .cost_seconds = detail::service_seconds(target, work),
+                     .failed_dispatches = failed_dispatches});
+    target.queued_model.emplace(work.id, work.model);
+}
+
+/// Free slots that tiers below the top one must leave alone.
+std::uint32_t reserve_of(const scheduler& source, const model_pool& pool, model_id model) {
+    const auto slots = detail::total_slots(source, model);
+    const auto limit = static_cast<std::uint32_t>(slots * source.options.max_reserve_share);
+    const auto peak = static_cast<std::uint32_t>(std::ceil(pool.top_tier.peak));
+    const auto wanted = peak - std::min(peak, pool.top_tier.present);
+    return std::min(limit, wanted);
+}
+
+std::uint32_t free_slots(const scheduler& source, model_id model, time_point now) {
+    std::uint32_t count = 0;
+    for (const auto& [id, server] : source.servers) {
+        if (!routing::offers(server, model) || !routing::has_room(server, now)) {
+            continue;
+        }
+        count += routing::usable_window(server) - server.in_flight;
+    }
+    return count;
+}
+
+/// The least urgent tier that may be dispatched for a model now.
+std::optional<tier> dispatchable(const scheduler& source, const model_pool& pool, model_id model,
+                                 time_point now) {
+    const auto free = free_slots(source, model, now);
+    if (free == 0) {
+        return std::nullopt;
+    }
+    return free > reserve_of(source, pool, model) ? tier{tier_count - 1} : tier{0};
+}
+
+token_count predicted_output(const scheduler& source, const work_item& work) {
+    return source.lengths.predict(work.profile, work.workspace, work.max_output,
+                                  source.options.length_quantile);
+}
+
+/// The server with room that would finish a request first.
+routing::server_model* best_server(scheduler& target, const work_item& work, time_point now,
+                                   routing::prediction& best) {
+    const auto output = predicted_output(target, work);
+    routing::server_model* chosen = nullptr;
+    for (auto& [id, server] : target.servers) {
+        if (!routing::offers(server, work.model) || !routing::has_room(server, now)) {
+            continue;
+        }
+        if (!work.idempotent && routing::is_on_trial(server.breaker) && target.servers.size() > 1) {
+            continue;
+        }
+        const auto predicted = routing::predict(server, work, output);
+        if (chosen == nullptr || predicted.finish < best.finish) {
+            chosen = &server;
+            best = predicted;
+        }
+    }
+    return chosen;
+}
+
+void start(scheduler& target, const admission::queued_item& item, routing::server_model& server,
+           const routing::prediction& predicted, time_point now, std::vector<effect>& effects) {
+    const auto& work = item.work;
+    running_item running{.work = work,
+                         .server = server.id,
+                         .started = now,
+                         .predicted_first_token = predicted.first_token,
+                         .predicted_output = predicted_output(target, work),
+                         .computed = predicted.computed,
+                         .observed_tokens = {},
+                         .failed_dispatches = item.failed_dispatches};
+    ++server.in_flight;
+    running.window_was_full = server.in_flight >= routing::usable_window(server);
+    server.pending_prefill += predicted.computed.value;
+    server.last_dispatch = now;
+    server.breaker.trial_running = routing::is_on_trial(server.breaker);
+    server.cache.insert(work.blocks);
+    target.running.emplace(work.id, std::move(running));
+    routing::on_first_attempt(target.retries);
+    effects.emplace_back(start_dispatch{.id = work.id, .server = server.id});
+}
+
+/// Dispatches the best waiting request of one model if a server has room for it.
+bool dispatch_one(scheduler& target, model_id model, time_point now,
+                  std::vector<effect>& effects) {
+    auto& pool = target.pools.at(model);
+    const auto allowed = dispatchable(target, pool, model, now);
+    if (!allowed) {
+        return false;
+    }
+    const auto* head = pool.queue.peek(*allowed);
+    if (head == nullptr) {
+        return false;
+    }
+    routing::prediction predicted;
+    auto* server = best_server(target, head->work, now, predicted);
+    if (server == nullptr) {
+        return false;
+    }
+    const auto item = pool.queue.take(head->work.id);
+    target.queued_model.erase(item->work.id);
+    start(target, *item, *server, predicted, now, effects);
+    return true;
+}
+
+/// The model whose next dispatchable request is most urgent, among those not yet exhausted.
+std::optional<model_id> most_urgent_model(const scheduler& source,
+                                          const std::vector<model_id>& exhausted, time_point now) {
+    const admission::queued_item* best = nullptr;
+    for (const auto& [model, pool] : source.pools) {
+        if (pool.queue.empty() ||
+            std::find(exhausted.begin(), exhausted.end(), model) != exhausted.end()) {
+            continue;
+        }
+        const auto allowed = dispatchable(source, pool, model, now);
+        if (!allowed) {
+            continue;
+        }
+        const auto* head = pool.queue.peek(*allowed);
+        if (head == nullptr) {
+            continue;
+        }
+        if (best == nullptr || std::pair(head->work.urgency, head->work.deadline) <
+                                   std::pair(best->work.urgency, best->work.deadline)) {
+            best = head;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional{best->work.model};
+}
+
+void dispatch_ready(scheduler& target, time_point now, std::vector<effect>& effects) {
+    detail::expire(target, now, effects);
+    std::vector<model_id> exhausted;
+    while (const auto model = most_urgent_model(target, exhausted, now)) {
+        if (!dispatch_one(target, *model, now, effects)) {
+            exhausted.push_back(*model);
+        }
+    }
+}
+
+void release_slot(scheduler& target, const running_item& item) {
+    const auto found = target.servers.find(item.server);
+    if (found == target.servers.end()) {
+        return;
+    }
+    auto& server = found->second;
+    server.in_flight -= std::min(server.in_flight, 1U);
+    if (!item.has_first_token) {
+        server.pending_prefill -= std::min<std::uint64_t>(server.pending_prefill,
+                                                          item.computed.value);
+    }
+}
+
+void compare_with_class(scheduler& target, routing::server_model& server) {
+    if (server.speed.decode_samples < min_class_samples) {
+        return;
+    }
+    const auto own = server.speed.decode_seconds_per_token;
+    auto& expected = target.class_speed.try_emplace(server.hardware_class, own).first->second;
+    // Fast servers define a class: a slow one must not drag the expectation along quickly.
+    expected += (own < expected ? class_gain : class_gain / 50.0) * (own - expected);
+    server.slowness = own / expected;
+}
+
+void observe_tokens(scheduler& target, running_item& item, token_count generated, time_point now) {
+    const auto found = target.servers.find(item.server);
+    if (found == target.servers.end() ||
+        generated.value < item.observed_tokens.value + decode_sample_tokens) {
+        return;
+    }
+    auto& server = found->second;
+    const token_count fresh{generated.value - item.observed_tokens.value};
+    const auto elapsed = now - item.observed_at;
+    routing::observe_decode(server.speed, fresh, elapsed);
+    routing::on_decode_interval(server.in_flight_window, elapsed / fresh.value, server.in_flight,
+                                now);
+    compare_with_class(target, server);
+    item.observed_tokens = generated;
+    item.observed_at = now;
+}
+
+// One overload of `handle` for each event.
+
+void handle(scheduler& target, const arrived& what, time_point now, std::vector<effect>& effects) {
+    const auto& work = what.work;
+    if (target.queued_model.contains(work.id) || target.running.contains(work.id)) {
+        return;
+    }
+    if (over_limit(target, work)) {
+        effects.emplace_back(refuse{.id = work.id,
+                                    .why = reason::workspace_limit,
+                                    .retry_after = std::chrono::seconds{1}});
+        return;
+    }
+    if (!has_server(target, work.model)) {
+        effects.emplace_back(refuse{.id = work.id,
+                                    .why = reason::no_server,
+                                    .retry_after = std::chrono::seconds{2}});
+        return;
+    }
+    ++target.in_system[work.workspace];
+    if (is_top(work)) {
+        update_peak(pool_of(target, work.model).top_tier, +1,
+                    target.options.reserve_decay_per_second, now);
+    }
+    enqueue(target, work, 0);
+    if (target.draining) {
+        detail::drain_queue(target, now, effects);
+        return;
+    }
+    dispatch_ready(target, now, effects);
+    if (queued_count(target) > target.options.max_queued) {
+        detail::shed_least_worthy(target, now, effects);
+    }
+    if (target.queued_model.contains(work.id)) {
+        detail::shed_infeasible(target, now, effects);
+    }
+}
+
+void handle(scheduler& target, const withdrawn& what, time_point now, std::vector<effect>&) {
+    if (const auto item = detail::remove_queued(target, what.id)) {
+        note_left(target, item->work, now);
+    }
+}
+
+void handle(scheduler& target, const dispatch_failed& what, time_point now,
+            std::vector<effect>& effects) {
+    const auto found = target.running.find(what.id);
+    if (found == target.running.end()) {
+        return;
+    }
+    const auto item = std::move(found->second);
+    target.running.erase(found);
+    release_slot(target, item);
+    if (const auto server = target.servers.find(item.server); server != target.servers.end()) {
+        routing::on_failure(server->second.breaker, now);
+        server->second.cache.evict(item.work.blocks);
+    }
+    const auto attempts = item.failed_dispatches + 1;
+    if (attempts >= max_failed_dispatches || !routing::try_retry(target.retries) ||
+        !has_server(target, item.work.model)) {
+        note_left(target, item.work, now);
+        effects.emplace_back(refuse{.id = what.id,
+                                    .why = reason::no_server,
+                                    .retry_after = std::chrono::seconds{2}});
+    } else {
+        enqueue(target, item.work, attempts);
+    }
+    dispatch_ready(target, now, effects);
+}
+
+void handle(scheduler& target, const grant_refused& what, time_point now,
+            std::vector<effect>& effects) {
+    const auto found = target.running.find(what.id);
+    if (found == target.running.end()) {
+        return;
+    }
+    release_slot(target, found->second);
+    if (const auto server = target.servers.find(found->second.server);
+        server != target.servers.end()) {
+        server->second.breaker.trial_running = false;
+        server->second.cache.evict(found->second.work.blocks);
+    }
+    note_left(target, found->second.work, now);
+    target.running.erase(found);
+    dispatch_ready(target, now, effects);
+}
+
+void handle(scheduler& target, const first_token& what, time_point now, std::vector<effect>&) {
+    const auto found = target.running.find(what.id);
+    if (found == target.running.end() || found->second.has_first_token) {
+        return;
+    }
+    auto& item = found->second;
+    item.has_first_token = true;
+    item.first_token_at = now;
+    item.observed_at = now;
+    const auto at = target.servers.find(item.server);
+    if (at == target.servers.end()) {
+        return;
+    }
+    auto& server = at->second;
+    const auto elapsed = now - item.started;
+    auto computed = item.computed;
+    if (what.cached) {
+        const auto cached = std::min(what.cached->value, item.work.prompt.value);
+        computed = {item.work.prompt.value - cached};
+        server.cache.confirm(item.work.blocks, cached / block_tokens);
+    }
+    const auto ahead = server.pending_prefill - std::min<std::uint64_t>(server.pending_prefill,
+                                                                        item.computed.value);
+    server.pending_prefill = ahead;
+    const auto unexpected =
+        to_seconds(duration{computed.value > item.computed.value
+                                ? from_seconds((computed.value - item.computed.value) /
+                                               server.speed.prefill_tokens_per_second)
+                                : duration{}});
+    const auto predicted = item.predicted_first_token + from_seconds(unexpected);
+    routing::on_first_token(server.in_flight_window, item.window_was_full, predicted, elapsed, now);
+    if (!item.window_was_full) {
+        routing::observe_prefill(server.speed, computed, elapsed);
+    }
+}
+
+void handle(scheduler& target, const progressed& what, time_point now, std::vector<effect>&) {
+    const auto found = target.running.find(what.id);
+    if (found != target.running.end() && found->second.has_first_token) {
+        observe_tokens(target, found->second, what.generated, now);
+    }
+}
+
+void handle(scheduler& target, const ended& what, time_point now, std::vector<effect>& effects) {
+    const auto found = target.running.find(what.id);
+    if (found == target.running.end()) {
+        return;
+    }
+    auto item = std::move(found->second);
+    target.running.erase(found);
+    release_slot(target, item);
+    note_left(target, item.work, now);
+    const auto at = target.servers.find(item.server);
+    if (at != target.servers.end()) {
+        auto& server = at->second;
+        server.breaker.trial_running = false;
+        if (what.whole) {
+            routing::on_success(server.breaker);
+        } else if (what.server_fault) {
+            routing::on_failure(server.breaker, now);
+        }
+        if (what.whole && server.kind == config::server_kind::service) {
+            routing::observe_decode(server.speed, {1}, now - item.started);
+        }
+    }
+    if (what.whole && at != target.servers.end() &&
+        at->second.kind == config::server_kind::engine) {
+        target.lengths.observe(item.work.profile, item.work.workspace, what.generated);
+    }
+    dispatch_ready(target, now, effects);
+}
+
+void handle(scheduler& target, const reported& what, time_point now, std::vector<effect>&) {
+    const auto found = target.servers.find(what.server);
+    if (found == target.servers.end() || what.report.made_at < found->second.report.made_at) {
+        return;
+    }
+    found->second.report = what.report;
+    routing::on_reported_waiting(found->second.in_flight_window, what.report.waiting,
+                                 now - what.report.made_at, now);
+}
+
+void handle(scheduler& target, const cache_changed& what, time_point, std::vector<effect>&) {
+    const auto found = target.servers.find(what.server);
+    if (found == target.servers.end() || !found->second.cache.accept_event(what.sequence)) {
+        return;
+    }
+    found->second.cache.insert(what.stored);
+    found->second.cache.evict(what.evicted);
+}
+
+void handle(scheduler& target, const ownership_changed& what, time_point now,
+            std::vector<effect>& effects) {
+    std::map<server_id, routing::server_model> next;
+    for (const auto& description : what.owned) {
+        const auto known = target.servers.find(description.id);
+        auto model = routing::make_server_model(description);
+        if (known != target.servers.end()) {
+            auto kept = std::move(known->second);
+            kept.state = model.state;
+            kept.offers = std::move(model.offers);
+            kept.hardware_class = std::move(model.hardware_class);
+            model = std::move(kept);
+        }
+        next.emplace(description.id, std::move(model));
+    }
+    target.servers = std::move(next);
+    target.limits.clear();
+    for (const auto& limit : what.limits) {
+        target.limits.emplace(workspace_id{hash_name(limit.workspace)}, limit.max_in_system);
+    }
+    std::vector<request_id> stranded;
+    for (const auto& [id, model] : target.queued_model) {
+        if (!has_server(target, model)) {
+            stranded.push_back(id);
+        }
+    }
+    std::sort(stranded.begin(), stranded.end());
+    for (const auto& id : stranded) {
+        const auto item = detail::remove_queued(target, id);
+        note_left(target, item->work, now);
+        effects.emplace_back(refuse{.id = id,
+                                    .why = reason::no_server,
+                                    .retry_after = std::chrono::seconds{1}});
+    }
+    dispatch_ready(target, now, effects);
+}
+
+void handle(scheduler& target, const peer_reported& what, time_point now, std::vector<effect>&) {
+    auto& peer = target.peers[what.peer];
+    peer.models.clear();
+    peer.heard = now;
+    for (const auto& digest : what.models) {
+        peer.models.emplace(digest.model, digest);
+    }
+}
+
+void handle(scheduler& target, const peer_gone& what, time_point, std::vector<effect>&) {
+    target.peers.erase(what.peer);
+}
+
+void handle(scheduler& target, const drain_requested&, time_point now, std::vector<effect>& effects) {
+    target.draining = true;
+    detail::drain_queue(target, now, effects);
+}
+
+void handle(scheduler& target, const ticked&, time_point now, std::vector<effect>& effects) {
+    dispatch_ready(target, now, effects);
+    detail::offload(target, now, effects);
+    detail::shed_infeasible(target, now, effects);
+}
+
+} // namespace
+
+void step(scheduler& target, const event& what, time_point now, std::vector<effect>& effects) {
+    std::visit([&](const auto& specific) { handle(target, specific, now, effects); }, what);
+}
+
+std::size_t queued_count(const scheduler& source) {
+    return source.queued_model.size();
+}
+
+std::vector<model_digest> make_digest(const scheduler& source, time_point now) {
+    std::map<model_id, model_digest> digests;
+    if (source.draining) {
+        return {};
+    }
+    for (const auto& [id, server] : source.servers) {
+        const auto usable =
+            server.state == config::server_state::active && routing::allows(server.breaker, now);
+        if (!usable) {
+            continue;
+        }
+        const auto window = routing::usable_window(server);
+        for (const auto model : server.offers) {
+            auto& digest = digests[model];
+            digest.model = model;
+            digest.slots += window;
+            digest.free_slots += window - std::min(window, server.in_flight);
+        }
+    }
+    for (auto& [model, digest] : digests) {
+        const auto pool = source.pools.find(model);
+        if (pool == source.pools.end()) {
+            continue;
+        }
+        digest.queued = static_cast<std::uint32_t>(pool->second.queue.size());
+        digest.queued_seconds =
+            static_cast<float>(pool->second.queue.work_ahead({tier_count - 1}));
+        digest.lowest_kept = pool->second.queue.lowest_tier();
+    }
+    std::vector<model_digest> out;
+    for (const auto& [model, digest] : digests) {
+        out.push_back(digest);
+    }
+    return out;
+}
+
+} // namespace tarragonspar::dispatch
--- /dev/null
+++ b/src/dispatch/shedding.cpp
@@ -0,0 +1,297 @@
+#include "tarragonspar/dispatch/detail/shedding.hpp"
+
+#include <algorithm>
+
+namespace tarragonspar::dispatch::detail {
+
+namespace {
+
+/// Answer length quantile for what could be reached at best.
+constexpr double optimistic_quantile = 0.05;
+/// Longest pause that a refused caller is asked to make.
+constexpr duration max_retry_after = std::chrono::seconds{60};
+constexpr duration min_retry_after = std::chrono::seconds{1};
+/// Times that one request may move between owners.
+constexpr std::uint8_t max_transfers = 2;
+/// Digests older than this are not acted on.
+constexpr duration max_digest_age = std::chrono::seconds{2};
+/// Requests that one tick may transfer, so that a digest is not overrun.
+constexpr int max_transfers_per_tick = 16;
+
+/// Removes a request, forgets it in all counts and refuses it.
+void refuse_queued(scheduler& target, const request_id& id, reason why, time_point now,
+                   std::vector<effect>& effects) {
+    const auto model = target.queued_model.at(id);
+    const auto pause = retry_after(target, target.pools.at(model), model);
+    // `withdrawn` keeps the per-workspace and top-tier counts right.
+    std::vector<effect> none;
+    step(target, withdrawn{.id = id}, now, none);
+    effects.emplace_back(refuse{.id = id, .why = why, .retry_after = pause});
+}
+
+void transfer_queued(scheduler& target, const request_id& id, instance_id peer, time_point now,
+                     std::vector<effect>& effects) {
+    std::vector<effect> none;
+    step(target, withdrawn{.id = id}, now, none);
+    effects.emplace_back(transfer{.id = id, .peer = peer});
+}
+
+/// Whether the caller's time is too short for an idle server with a warm cache.
+bool is_unattainable(const scheduler& source, const work_item& work, time_point now) {
+    const auto output = source.lengths.predict(work.profile, work.workspace, work.max_output,
+                                               optimistic_quantile);
+    const auto left = work.deadline - now;
+    for (const auto& [id, server] : source.servers) {
+        if (!routing::offers(server, work.model)) {
+            continue;
+        }
+        if (routing::best_case(server, work, output) <= left) {
+            return false;
+        }
+    }
+    return !source.servers.empty();
+}
+
+/// The peer with most free slots for a model, or with less urgent work of it than `urgency`.
+std::optional<instance_id> find_taker(const scheduler& source, model_id model,
+                                      std::optional<tier> urgency, time_point now) {
+    std::optional<instance_id> best;
+    std::uint32_t best_free = 0;
+    for (const auto& [id, peer] : source.peers) {
+        if (now - peer.heard > max_digest_age) {
+            continue;
+        }
+        const auto found = peer.models.find(model);
+        if (found == peer.models.end()) {
+            continue;
+        }
+        const auto& digest = found->second;
+        const auto keeps_lower =
+            urgency && digest.lowest_kept && *digest.lowest_kept > *urgency && digest.slots > 0;
+        const auto free = digest.queued == 0 ? digest.free_slots : 0;
+        if (free == 0 && !keeps_lower) {
+            continue;
+        }
+        if (!best || free > best_free) {
+            best = id;
+            best_free = free;
+        }
+    }
+    return best;
+}
+
+void note_sent(scheduler& target, instance_id peer, model_id model) {
+    auto& digest = target.peers.at(peer).models.at(model);
+    digest.free_slots -= std::min(digest.free_slots, 1U);
+    if (digest.free_slots == 0) {
+        ++digest.queued;
+    }
+}
+
+/// Transfers a request that would be shed, if some peer is better placed.
+bool try_transfer(scheduler& target, const admission::queued_item& item, bool before_shedding,
+                  time_point now, std::vector<effect>& effects) {
+    if (!target.options.transfer_to_peers || item.work.transfers >= max_transfers) {
+        return false;
+    }
+    const auto model = item.work.model;
+    const auto urgency = before_shedding ? std::optional{item.work.urgency} : std::nullopt;
+    const auto peer = find_taker(target, model, urgency, now);
+    if (!peer) {
+        return false;
+    }
+    note_sent(target, *peer, model);
+    transfer_queued(target, item.work.id, *peer, now, effects);
+    return true;
+}
+
+/// @brief Requests of a pool's least urgent tier to give up so that the others finish in time.
+///
+/// Walks the tier in order of deadlines; whenever the work before a deadline exceeds the time that
+/// is left, the largest request so far is given up (Moore and Hodgson's rule, which keeps the
+/// number of late requests least on one machine).
+std::vector<request_id> find_infeasible(const scheduler& source, const model_pool& pool,
+                                        model_id model, tier lowest, time_point now) {
+    const auto slots = static_cast<double>(std::max(1U, total_slots(source, model)));
+    double ahead = 0.0;
+    for (std::uint8_t level = 0; level < lowest.value; ++level) {
+        pool.queue.for_each({level}, [&](const auto& item) { ahead += item.cost_seconds; });
+    }
+    std::vector<std::pair<double, request_id>> kept;
+    std::vector<request_id> given_up;
+    pool.queue.for_each(lowest, [&](const admission::queued_item& item) {
+        kept.emplace_back(item.cost_seconds, item.work.id);
+        std::push_heap(kept.begin(), kept.end());
+        ahead += item.cost_seconds;
+        const auto finish = (ahead - item.cost_seconds) / slots + item.cost_seconds;
+        if (finish <= to_seconds(item.work.deadline - now)) {
+            return;
+        }
+        std::pop_heap(kept.begin(), kept.end());
+        ahead -= kept.back().first;
+        given_up.push_back(kept.back().second);
+        kept.pop_back();
+    });
+    return given_up;
+}
+
+/// The least urgent tier that waits in any pool.
+std::optional<tier> lowest_waiting(const scheduler& source) {
+    std::optional<tier> lowest;
+    for (const auto& [model, pool] : source.pools) {
+        const auto here = pool.queue.lowest_tier();
+        if (here && (!lowest || *here > *lowest)) {
+            lowest = here;
+        }
+    }
+    return lowest;
+}
+
+} // namespace
+
+std::uint32_t total_slots(const scheduler& source, model_id model) {
+    std::uint32_t slots = 0;
+    for (const auto& [id, server] : source.servers) {
+        if (server.state == config::server_state::active && routing::offers(server, model)) {
+            slots += routing::usable_window(server);
+        }
+    }
+    return slots;
+}
+
+double service_seconds(const scheduler& source, const work_item& work) {
+    const auto output = source.lengths.predict(work.profile, work.workspace, work.max_output,
+                                               source.options.length_quantile);
+    double best = 0.0;
+    for (const auto& [id, server] : source.servers) {
+        if (!routing::offers(server, work.model)) {
+            continue;
+        }
+        const auto seconds = to_seconds(routing::best_case(server, work, output));
+        if (best == 0.0 || seconds < best) {
+            best = seconds;
+        }
+    }
+    return best;
+}
+
+duration retry_after(const scheduler& source, const model_pool& pool, model_id model) {
+    const auto slots = std::max(1U, total_slots(source, model));
+    const auto wait = from_seconds(pool.queue.work_ahead({tier_count - 1}) / slots);
+    return std::clamp(wait, min_retry_after, max_retry_after);
+}
+
+std::optional<admission::queued_item> remove_queued(scheduler& target, const request_id& id) {
+    const auto found = target.queued_model.find(id);
+    if (found == target.queued_model.end()) {
+        return std::nullopt;
+    }
+    auto item = target.pools.at(found->second).queue.erase(id);
+    target.queued_model.erase(found);
+    return item;
+}
+
+void expire(scheduler& target, time_point now, std::vector<effect>& effects) {
+    for (auto& [model, pool] : target.pools) {
+        while (const auto* first = pool.queue.earliest_deadline()) {
+            const auto hopeless = first->work.deadline <= now ||
+                                  (target.options.refuse_infeasible &&
+                                   is_unattainable(target, first->work, now));
+            if (!hopeless) {
+                break;
+            }
+            refuse_queued(target, first->work.id, reason::deadline_passed, now, effects);
+        }
+    }
+}
+
+void shed_infeasible(scheduler& target, time_point now, std::vector<effect>& effects) {
+    const auto lowest = lowest_waiting(target);
+    if (!target.options.refuse_infeasible || !lowest) {
+        return;
+    }
+    for (auto& [model, pool] : target.pools) {
+        if (pool.queue.size(*lowest) == 0) {
+            continue;
+        }
+        for (const auto& id : find_infeasible(target, pool, model, *lowest, now)) {
+            const auto* item = pool.queue.find(id);
+            if (try_transfer(target, *item, true, now, effects)) {
+                continue;
+            }
+            refuse_queued(target, id, reason::overloaded, now, effects);
+        }
+    }
+}
+
+void offload(scheduler& target, time_point now, std::vector<effect>& effects) {
+    if (!target.options.transfer_to_peers || target.peers.empty()) {
+        return;
+    }
+    int moved = 0;
+    for (auto& [model, pool] : target.pools) {
+        const auto slots = std::max(1U, total_slots(target, model));
+        while (moved < max_transfers_per_tick) {
+            const auto* head = pool.queue.peek();
+            if (head == nullptr) {
+                break;
+            }
+            const auto waited = now - head->work.arrival;
+            const auto wait = from_seconds(pool.queue.work_ahead({tier_count - 1}) / slots);
+            if (std::max(waited, wait) < target.options.transfer_wait) {
+                break;
+            }
+            if (!try_transfer(target, *head, false, now, effects)) {
+                break;
+            }
+            ++moved;
+        }
+    }
+}
+
+void shed_least_worthy(scheduler& target, time_point now, std::vector<effect>& effects) {
+    const auto lowest = lowest_waiting(target);
+    const admission::queued_item* worst = nullptr;
+    const auto less_worthy = [](const admission::queued_item& a, const admission::queued_item& b) {
+        return a.cost_seconds > b.cost_seconds;
+    };
+    for (const auto& [model, pool] : target.pools) {
+        if (!lowest || pool.queue.size(*lowest) == 0) {
+            continue;
+        }
+        const auto* candidate = pool.queue.least_worthy(less_worthy);
+        if (worst == nullptr || less_worthy(*candidate, *worst)) {
+            worst = candidate;
+        }
+    }
+    if (worst == nullptr || try_transfer(target, *worst, true, now, effects)) {
+        return;
+    }
+    refuse_queued(target, worst->work.id, reason::overloaded, now, effects);
+}
+
+void drain_queue(scheduler& target, time_point now, std::vector<effect>& effects) {
+    std::vector<std::pair<request_id, model_id>> waiting(target.queued_model.begin(),
+                                                         target.queued_model.end());
+    std::sort(waiting.begin(), waiting.end());
+    for (const auto& [id, model] : waiting) {
+        std::optional<instance_id> taker;
+        for (const auto& [peer_id, peer] : target.peers) {
+            const auto found = peer.models.find(model);
+            if (found != peer.models.end() && found->second.slots > 0) {
+                taker = peer_id;
+                if (found->second.free_slots > 0) {
+                    break;
+                }
+            }
+        }
+        if (taker) {
+            note_sent(target, *taker, model);
+            transfer_queued(target, id, *taker, now, effects);
+        } else {
+            refuse_queued(target, id, reason::shutting_down, now, effects);
+        }
+    }
+}
+
+} // namespace tarragonspar::dispatch::detail
--- /dev/null
+++ b/src/routing/server_model.cpp
@@ -0,0 +1,80 @@
+#include "tarragonspar/routing/server_model.hpp"
+
+#include <algorithm>
+
+namespace tarragonspar::routing {
+
+namespace {
+
+/// Relative time per token above which a server counts as a straggler.
+constexpr double straggler_slowness = 1.8;
+/// Pause between two dispatches to a straggler, so that its recovery is seen.
+constexpr duration straggler_trial_interval = std::chrono::seconds{2};
+
+} // namespace
+
+server_model make_server_model(const config::server& description) {
+    server_model model;
+    model.id = description.id;
+    model.kind = description.kind;
+    model.state = description.state;
+    model.hardware_class = description.hardware_class;
+    for (const auto& name : description.offers) {
+        model.offers.push_back({hash_name(name)});
+    }
+    model.in_flight_window =
+        make_window({.initial = static_cast<double>(std::max(1U, description.slots))});
+    return model;
+}
+
+prediction predict(const server_model& server, const work_item& work, token_count output) {
+    prediction result;
+    result.cached_blocks = server.cache.match(work.blocks);
+    const auto cached = static_cast<std::uint32_t>(result.cached_blocks * block_tokens);
+    result.computed = {work.prompt.value - std::min(work.prompt.value, cached)};
+    const auto prefill = static_cast<double>(server.pending_prefill + result.computed.value) /
+                         server.speed.prefill_tokens_per_second;
+    const auto first = server.speed.fixed_seconds + prefill;
+    result.first_token = from_seconds(first);
+    result.finish = from_seconds(first + output.value * server.speed.decode_seconds_per_token);
+    return result;
+}
+
+duration best_case(const server_model& server, const work_item& work, token_count output) {
+    const auto cached = static_cast<std::uint32_t>(server.cache.match(work.blocks) * block_tokens);
+    const auto computed = work.prompt.value - std::min(work.prompt.value, cached);
+    return from_seconds(computed / server.speed.prefill_tokens_per_second +
+                        output.value * server.speed.decode_seconds_per_token);
+}
+
+bool offers(const server_model& server, model_id model) {
+    return std::find(server.offers.begin(), server.offers.end(), model) != server.offers.end();
+}
+
+bool is_straggler(const server_model& server) {
+    return server.slowness > straggler_slowness;
+}
+
+std::uint32_t usable_window(const server_model& server) {
+    const auto whole = capacity(server.in_flight_window);
+    if (!is_straggler(server)) {
+        return whole;
+    }
+    return std::max(1U, static_cast<std::uint32_t>(whole / server.slowness));
+}
+
+bool has_room(const server_model& server, time_point now) {
+    if (server.state != config::server_state::active || !allows(server.breaker, now)) {
+        return false;
+    }
+    if (is_on_trial(server.breaker) && server.in_flight > 0) {
+        return false;
+    }
+    if (is_straggler(server) && server.in_flight > 0 &&
+        now - server.last_dispatch < straggler_trial_interval) {
+        return false;
+    }
+    return server.in_flight < usable_window(server);
+}
+
+} // namespace tarragonspar::routing
--- /dev/null
+++ b/src/settings/instance_settings.cpp
@@ -0,0 +1,202 @@
+#include "tarragonspar/settings/instance_settings.hpp"
+
+#include <charconv>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+#include "tarragonspar/settings/detail/configuration_reader.hpp"
+#include "tarragonspar/settings/detail/map_reader.hpp"
+
+namespace tarragonspar::settings {
+
+namespace {
+
+using detail::map_reader;
+
+void read_endpoint(map_reader& in, const std::string& key, endpoint& out, bool required) {
+    std::string text;
+    const std::string expected = "IP:port";
+    if (required) {
+        in.required(key, text, expected);
+    } else {
+        in.optional(key, text, expected);
+    }
+    if (text.empty()) {
+        return;
+    }
+    if (const auto parsed = parse_endpoint(text)) {
+        out = *parsed;
+    } else {
+        in.reject(key, expected);
+    }
+}
+
+void read_limits(map_reader& in, http_limits& out) {
+    in.optional("max_header_bytes", out.max_header_bytes, "a number of bytes");
+    in.optional("max_body_bytes", out.max_body_bytes, "a number of bytes");
+    in.optional("max_connections", out.max_connections, "a number");
+    in.optional("stream_buffer_events", out.stream_buffer_events, "a number");
+    detail::read_milliseconds(in, "idle_timeout_ms", out.idle_timeout);
+    detail::read_milliseconds(in, "write_timeout_ms", out.write_timeout);
+}
+
+void read_tls(map_reader& in, const std::string& key, tls_files& out) {
+    in.child(key, [&](map_reader& tls) {
+        tls.required("certificate", out.certificate, "a file");
+        tls.required("private_key", out.private_key, "a file");
+        tls.optional("authorities", out.authorities, "a file");
+    });
+}
+
+void read_http(map_reader& in, instance_settings& out) {
+    read_endpoint(in, "listen", out.http, true);
+    in.optional("threads", out.threads, "a number of threads");
+    if (out.threads == 0 || out.threads > 256) {
+        in.reject("threads", "a number from 1 to 256");
+    }
+    in.child("limits", [&](map_reader& limits) { read_limits(limits, out.limits); });
+    read_tls(in, "tls", out.caller_tls);
+}
+
+void read_wire(map_reader& in, instance_settings& out) {
+    read_endpoint(in, "listen", out.wire, true);
+    read_tls(in, "tls", out.wire_tls);
+}
+
+void read_instance(map_reader& in, instance_settings& out) {
+    in.required("id", out.id.value, "a number from 1");
+    in.optional("name", out.name, "a name");
+    in.required("failure_domain", out.failure_domain, "the name of a failure domain");
+}
+
+void read_peer(map_reader& in, instance_settings& out) {
+    peer item;
+    in.required("id", item.id.value, "a number from 1");
+    in.required("failure_domain", item.failure_domain, "the name of a failure domain");
+    read_endpoint(in, "wire", item.wire, true);
+    in.optional("control", item.control, "true or false");
+    out.peers.push_back(item);
+}
+
+void read_log(map_reader& in, log_settings& out) {
+    static const std::set<std::string> levels{"info", "warning", "error"};
+    in.optional("level", out.level, "info, warning or error");
+    if (!levels.contains(out.level)) {
+        in.reject("level", "info, warning or error");
+    }
+    in.optional("folder", out.folder, "a folder");
+    in.optional("max_file_megabytes", out.max_file_megabytes, "a number of megabytes");
+}
+
+void check_peers(const instance_settings& value, std::vector<fault>& faults) {
+    std::set<instance_id> ids{value.id};
+    std::size_t replicas = value.control ? 1 : 0;
+    for (const auto& item : value.peers) {
+        if (!ids.insert(item.id).second) {
+            faults.push_back({.path = "peers",
+                              .expected = "ids that differ, but " + std::to_string(item.id.value) +
+                                          " stands twice"});
+        }
+        replicas += item.control ? 1 : 0;
+    }
+    constexpr std::size_t max_replicas = 7;
+    if (replicas > max_replicas) {
+        faults.push_back({.path = "peers", .expected = "at most 7 instances with control"});
+    }
+}
+
+void read_root(map_reader& in, instance_settings& out) {
+    if (!in.child("instance", [&](map_reader& item) { read_instance(item, out); })) {
+        in.reject("instance", "a map with id and failure_domain (missing)");
+    }
+    if (!in.child("http", [&](map_reader& item) { read_http(item, out); })) {
+        in.reject("http", "a map with listen (missing)");
+    }
+    in.child("wire", [&](map_reader& item) { read_wire(item, out); });
+    in.optional("data_folder", out.data_folder, "a folder");
+    in.optional("control", out.control, "true or false");
+    in.optional("operator_tokens", out.operator_tokens, "a list of tokens");
+    detail::read_milliseconds(in, "drain_timeout_ms", out.drain_timeout);
+    detail::read_milliseconds(in, "leave_notice_ms", out.leave_notice);
+    in.optional("test_hooks", out.test_hooks, "true or false");
+    in.each("peers", [&](map_reader& item) { read_peer(item, out); });
+    in.child("log", [&](map_reader& item) { read_log(item, out.log); });
+    in.child("configuration",
+             [&](map_reader& item) { detail::read_configuration(item, out.configuration); });
+}
+
+std::string read_file(const std::string& file, bool& readable) {
+    std::ifstream in(file);
+    readable = static_cast<bool>(in);
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+} // namespace
+
+std::optional<endpoint> parse_endpoint(std::string_view text) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0) {
+        return std::nullopt;
+    }
+    endpoint out{.address = std::string(text.substr(0, colon))};
+    const auto* first = text.data() + colon + 1;
+    const auto* last = text.data() + text.size();
+    const auto parsed = std::from_chars(first, last, out.port);
+    if (parsed.ec != std::errc{} || parsed.ptr != last) {
+        return std::nullopt;
+    }
+    return out;
+}
+
+std::string to_string(const endpoint& value) {
+    return value.address + ":" + std::to_string(value.port);
+}
+
+read_result read_instance_settings(const std::string& text) {
+    read_result result;
+    try {
+        map_reader root(YAML::Load(text), "", result.faults);
+        read_root(root, result.value);
+        root.finish();
+    } catch (const YAML::ParserException& error) {
+        result.faults.push_back({.line = error.mark.line + 1,
+                                 .column = error.mark.column + 1,
+                                 .path = {},
+                                 .expected = "well-formed YAML: " + error.msg});
+        return result;
+    }
+    check_peers(result.value, result.faults);
+    for (const auto& sentence : config::find_faults(result.value.configuration)) {
+        result.faults.push_back({.path = "configuration", .expected = "no fault: " + sentence});
+    }
+    return result;
+}
+
+read_result read_instance_settings_file(const std::string& file) {
+    bool readable = false;
+    const auto text = read_file(file, readable);
+    if (!readable) {
+        return {.value = {}, .faults = {{.expected = "a readable file"}}};
+    }
+    return read_instance_settings(text);
+}
+
+configuration_result read_configuration(const std::string& text) {
+    configuration_result result;
+    try {
+        map_reader root(YAML::Load(text), "", result.faults);
+        detail::read_configuration(root, result.value);
+        root.finish();
+    } catch (const YAML::ParserException& error) {
+        result.faults.push_back({.line = error.mark.line + 1,
+                                 .column = error.mark.column + 1,
+                                 .path = {},
+                                 .expected = "well-formed YAML: " + error.msg});
+    }
+    return result;
+}
+
+} // namespace tarragonspar::settings
