--- a/include/tarragonspar/dispatch/events.hpp
+++ b/include/tarragonspar/dispatch/events.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "tarragonspar/config/configuration.hpp"
+#include "tarragonspar/routing/digest.hpp"
 #include "tarragonspar/routing/server_model.hpp"
 #include "tarragonspar/types/outcome.hpp"
 #include "tarragonspar/types/work.hpp"
@@ -71,20 +72,10 @@
     std::vector<config::workspace_limit> limits;
 };
 
-/// @brief What an owner tells others about its work on one model, kept small.
-struct model_digest {
-    model_id model;
-    std::uint32_t free_slots{};           ///< requests it could dispatch at once
-    std::uint32_t slots{};                ///< sum of its windows
-    float queued_seconds{};               ///< predicted work waiting in all tiers
-    std::optional<tier> lowest_kept;      ///< least urgent tier that waits
-    std::uint32_t queued{};               ///< requests waiting
-};
-
 /// A peer's digest arrived.
 struct peer_reported {
     instance_id peer;
-    std::vector<model_digest> models;
+    std::vector<routing::model_digest> models;
 };
 
 /// A peer is gone or is leaving; nothing is to be transferred to it.
--- a/include/tarragonspar/dispatch/scheduler.hpp
+++ b/include/tarragonspar/dispatch/scheduler.hpp
@@ -53,7 +53,7 @@
 
 /// @brief A peer's last digest, corrected by what was sent to it since.
 struct peer_state {
-    std::unordered_map<model_id, model_digest> models;
+    std::unordered_map<model_id, routing::model_digest> models;
     time_point heard{};
 };
 
@@ -82,7 +82,7 @@
 void step(scheduler& target, const event& what, time_point now, std::vector<effect>& effects);
 
 /// @brief Digest of the work on each model, for peers.
-[[nodiscard]] std::vector<model_digest> make_digest(const scheduler& source, time_point now);
+[[nodiscard]] std::vector<routing::model_digest> make_digest(const scheduler& source, time_point now);
 
 /// @brief Requests that wait in all pools.
 [[nodiscard]] std::size_t queued_count(const scheduler& source);
--- /dev/null
+++ b/include/tarragonspar/emulator/fake_server.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <deque>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "tarragonspar/emulator/engine.hpp"
+#include "tarragonspar/http/completion_api.hpp"
+#include "tarragonspar/http/exchange.hpp"
+#include "tarragonspar/settings/instance_settings.hpp"
+
+namespace tarragonspar::emulator {
+
+/// @brief Behaviour of one fake backend server, set by flags.
+struct fake_options {
+    settings::endpoint listen{.address = "127.0.0.1", .port = 0};
+    std::string journal;                       ///< file that lists what ran; empty: none
+    engine_options engine;
+    bool plain_service{false};
+    std::chrono::milliseconds service_time{5}; ///< of a plain service
+    std::chrono::milliseconds report_lag{300}; ///< age of load reports
+    std::uint32_t drop_cache_event_every{0};   ///< leaves out every n-th event; 0: none
+    std::uint32_t silent_after_tokens{0};      ///< first connections go silent after n tokens
+    std::uint32_t repeat_every{0};             ///< sends every n-th piece twice; 0: never
+    bool foreign_events{false};                ///< mixes in events of another request
+    bool checks_fencing{false};
+    std::uint32_t default_output{64};          ///< tokens where the caller states no limit
+};
+
+/// @brief One answer as the fake engine produces it.
+struct fake_stream {
+    std::string id;
+    std::uint32_t generated{};
+    std::uint32_t prompt{};
+    std::uint32_t cached{};
+    bool done{false};
+    bool cancelled{false};
+    bool fell_silent{false}; ///< a connection of this stream already went silent
+    std::unique_ptr<boost::asio::steady_timer> changed; ///< cancelled at every change
+};
+
+/// @brief The fake engine behind its HTTP interface; runs on one thread.
+class fake_server {
+  public:
+    fake_server(boost::asio::io_context& context, const fake_options& options);
+
+    /// @brief Handles one request of a scheduler.
+    boost::asio::awaitable<void> handle(http::exchange& with);
+
+  private:
+    struct past_report {
+        time_point made_at;
+        std::uint32_t running{};
+        std::uint32_t waiting{};
+    };
+    struct cache_event {
+        std::uint64_t sequence{};
+        cache_change change;
+    };
+
+    boost::asio::awaitable<void> run_completion(http::exchange& with, bool chat);
+    boost::asio::awaitable<void> send_stream(http::exchange& with,
+                                             std::shared_ptr<fake_stream> stream,
+                                             std::uint32_t offset);
+    boost::asio::awaitable<void> resume(http::exchange& with, const std::string& target);
+    boost::asio::awaitable<void> cancel(http::exchange& with, const std::string& target);
+    boost::asio::awaitable<void> tell_load(http::exchange& with, const std::string& target);
+    boost::asio::awaitable<void> run_service(http::exchange& with);
+    boost::asio::awaitable<void> take_order(http::exchange& with);
+    boost::asio::awaitable<void> wait_for_change(fake_stream& stream);
+    void start_job(const std::shared_ptr<fake_stream>& stream,
+                   const http::completion_request& request);
+    void schedule_step();
+    void run_step();
+    void note_report();
+    void write_journal(const std::string& line);
+    void forget_old_streams();
+
+    fake_options options_;
+    engine engine_;
+    boost::asio::steady_timer step_timer_;
+    std::unordered_map<std::string, std::shared_ptr<fake_stream>> streams_;
+    std::deque<std::string> stream_order_;
+    std::map<request_id, std::shared_ptr<fake_stream>> jobs_;
+    std::deque<past_report> reports_;
+    std::deque<cache_event> cache_events_;
+    std::uint64_t cache_sequence_{0};
+    std::uint64_t next_job_{0};
+    std::uint64_t newest_fence_{0};
+    std::ofstream journal_;
+};
+
+/// @brief The text of one token of an answer; the same for every engine, so that tests can check
+/// that an answer is whole and belongs to its request.
+[[nodiscard]] std::string token_text(const std::string& id, std::uint32_t index);
+
+} // namespace tarragonspar::emulator
--- /dev/null
+++ b/include/tarragonspar/http/detail/session.hpp
@@ -0,0 +1,206 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/beast/ssl/ssl_stream.hpp>
+
+#include "tarragonspar/http/detail/serve.hpp"
+#include "tarragonspar/http/exchange.hpp"
+#include "tarragonspar/settings/instance_settings.hpp"
+
+namespace tarragonspar::http::detail {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+/// @brief One connection of a caller, over plain TCP or TLS.
+/// @tparam Stream  a `beast::tcp_stream` or an SSL stream above one
+template <class Stream>
+class session final : public exchange {
+  public:
+    session(Stream stream, const settings::http_limits& limits, const std::atomic<bool>& stopping)
+        : stream_(std::move(stream)), limits_(limits), stopping_(stopping) {}
+
+    /// @brief Serves requests until the connection ends.
+    asio::awaitable<void> run(
+        const std::function<asio::awaitable<void>(exchange&)>& handle) {
+        while (alive_ && keep_alive_) {
+            const bool received = co_await read_request();
+            if (!received) {
+                break;
+            }
+            co_await handle(*this);
+            watch_.reset();
+        }
+        close();
+    }
+
+    [[nodiscard]] const request_message& request() const override {
+        return request_;
+    }
+
+    asio::awaitable<bool> respond(reply what) override {
+        beast_http::response<beast_http::string_body> message{
+            static_cast<beast_http::status>(what.status), request_.version()};
+        message.set(beast_http::field::content_type, what.content_type);
+        for (const auto& [name, value] : what.headers) {
+            message.set(name, value);
+        }
+        message.body() = std::move(what.body);
+        decide_keep_alive();
+        message.keep_alive(keep_alive_);
+        message.prepare_payload();
+        set_write_deadline();
+        const auto [error, size] =
+            co_await beast_http::async_write(stream_, message, as_result);
+        co_return note(error);
+    }
+
+    asio::awaitable<bool> begin_stream(unsigned status, std::string content_type,
+                                       header_list headers) override {
+        beast_http::response<beast_http::empty_body> message{
+            static_cast<beast_http::status>(status), request_.version()};
+        message.set(beast_http::field::content_type, content_type);
+        message.set(beast_http::field::cache_control, "no-store");
+        for (const auto& [name, value] : headers) {
+            message.set(name, value);
+        }
+        decide_keep_alive();
+        message.keep_alive(keep_alive_);
+        message.chunked(true);
+        set_write_deadline();
+        beast_http::response_serializer<beast_http::empty_body> serializer{message};
+        const auto [error, size] =
+            co_await beast_http::async_write_header(stream_, serializer, as_result);
+        co_return note(error);
+    }
+
+    asio::awaitable<bool> write(std::string piece) override {
+        if (!alive_ || piece.empty()) {
+            co_return alive_;
+        }
+        set_write_deadline();
+        const auto [error, size] = co_await asio::async_write(
+            stream_, beast_http::make_chunk(asio::buffer(piece)), as_result);
+        co_return note(error);
+    }
+
+    asio::awaitable<bool> end_stream() override {
+        if (!alive_) {
+            co_return false;
+        }
+        set_write_deadline();
+        const auto [error, size] =
+            co_await asio::async_write(stream_, beast_http::make_chunk_last(), as_result);
+        co_return note(error);
+    }
+
+    void when_gone(std::function<void()> gone) override {
+        watch_ = std::make_shared<std::function<void()>>(std::move(gone));
+        auto& socket = beast::get_lowest_layer(stream_).socket();
+        socket.async_wait(asio::socket_base::wait_read,
+                          [this, watch = std::weak_ptr(watch_)](beast::error_code error) {
+                              const auto held = watch.lock();
+                              if (held && !error && is_closed()) {
+                                  alive_ = false;
+                                  (*held)();
+                              }
+                          });
+    }
+
+  private:
+    asio::awaitable<bool> read_request() {
+        beast_http::request_parser<beast_http::string_body> parser;
+        parser.header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
+        parser.body_limit(limits_.max_body_bytes);
+        beast::get_lowest_layer(stream_).expires_after(limits_.idle_timeout);
+        const auto [error, size] =
+            co_await beast_http::async_read(stream_, buffer_, parser, as_result);
+        beast::get_lowest_layer(stream_).expires_never();
+        if (error) {
+            co_await refuse(error);
+            co_return false;
+        }
+        request_ = parser.release();
+        co_return true;
+    }
+
+    /// Tells a caller what was wrong with a request that could not be read.
+    asio::awaitable<void> refuse(beast::error_code error) {
+        unsigned status = 400;
+        if (error == beast_http::error::body_limit) {
+            status = 413;
+        } else if (error == beast_http::error::header_limit) {
+            status = 431;
+        } else if (error.category() !=
+                       beast_http::make_error_code(beast_http::error::bad_method).category() ||
+                   error == beast_http::error::end_of_stream ||
+                   error == beast_http::error::partial_message) {
+            co_return;
+        }
+        request_ = {};
+        request_.version(11);
+        request_.keep_alive(false);
+        reply problem;
+        problem.status = status;
+        problem.content_type = "application/problem+json";
+        problem.body = R"({"title":"malformed request","detail":")" + error.message() +
+                       R"(","outcome":"not_executed"})";
+        co_await respond(std::move(problem));
+    }
+
+    void decide_keep_alive() {
+        keep_alive_ = request_.keep_alive() && !stopping_.load();
+    }
+
+    void set_write_deadline() {
+        beast::get_lowest_layer(stream_).expires_after(limits_.write_timeout);
+    }
+
+    bool note(beast::error_code error) {
+        beast::get_lowest_layer(stream_).expires_never();
+        if (error) {
+            alive_ = false;
+        }
+        return alive_;
+    }
+
+    bool is_closed() {
+        char byte{};
+        auto& socket = beast::get_lowest_layer(stream_).socket();
+        beast::error_code error;
+        socket.non_blocking(true, error);
+        const auto size =
+            socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+        if (error == asio::error::would_block) {
+            return false;
+        }
+        return error || size == 0;
+    }
+
+    void close() {
+        auto& socket = beast::get_lowest_layer(stream_).socket();
+        beast::error_code ignored;
+        socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        socket.close(ignored);
+    }
+
+    Stream stream_;
+    const settings::http_limits& limits_;
+    const std::atomic<bool>& stopping_;
+    beast::flat_buffer buffer_;
+    request_message request_;
+    std::shared_ptr<std::function<void()>> watch_;
+    bool alive_{true};
+    bool keep_alive_{true};
+};
+
+} // namespace tarragonspar::http::detail
--- /dev/null
+++ b/include/tarragonspar/http/exchange.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace tarragonspar::http {
+
+namespace beast_http = boost::beast::http;
+
+using request_message = beast_http::request<beast_http::string_body>;
+using header_list = std::vector<std::pair<std::string, std::string>>;
+
+/// @brief A whole response.
+struct reply {
+    unsigned status{200};
+    std::string content_type{"application/json"};
+    header_list headers;
+    std::string body;
+};
+
+/// @brief One request of a caller and the means to answer it.
+///
+/// All functions are called from the coroutine that handles the request. Those that send return
+/// false once the caller is gone; nothing throws.
+class exchange {
+  public:
+    exchange() = default;
+    exchange(const exchange&) = delete;
+    exchange& operator=(const exchange&) = delete;
+    exchange(exchange&&) = delete;
+    exchange& operator=(exchange&&) = delete;
+    virtual ~exchange() = default;
+
+    [[nodiscard]] virtual const request_message& request() const = 0;
+
+    /// @brief Value of a header, or an empty string.
+    [[nodiscard]] std::string header(std::string_view name) const;
+
+    /// @brief Sends a whole response.
+    virtual boost::asio::awaitable<bool> respond(reply what) = 0;
+
+    /// @brief Begins a response of unknown length.
+    virtual boost::asio::awaitable<bool> begin_stream(unsigned status, std::string content_type,
+                                                      header_list headers) = 0;
+
+    /// @brief Sends a piece of a begun response.
+    virtual boost::asio::awaitable<bool> write(std::string piece) = 0;
+
+    /// @brief Ends a begun response.
+    virtual boost::asio::awaitable<bool> end_stream() = 0;
+
+    /// @brief Calls `gone` once if the caller closes its connection before the response ends.
+    virtual void when_gone(std::function<void()> gone) = 0;
+};
+
+} // namespace tarragonspar::http
--- /dev/null
+++ b/include/tarragonspar/http/server.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ssl/context.hpp>
+
+#include "tarragonspar/http/exchange.hpp"
+#include "tarragonspar/settings/instance_settings.hpp"
+
+namespace tarragonspar::http {
+
+/// @brief What a server needs to know.
+struct server_options {
+    settings::endpoint listen;
+    settings::http_limits limits;
+    std::shared_ptr<boost::asio::ssl::context> tls; ///< null: plain TCP
+};
+
+/// @brief Handles one request; must send exactly one response.
+using handler = std::function<boost::asio::awaitable<void>(exchange&)>;
+
+/// @brief Accepts connections and runs a coroutine for each.
+class server : public std::enable_shared_from_this<server> {
+  public:
+    /// @throw boost::system::system_error if the address can't be bound
+    server(boost::asio::io_context& context, server_options options, handler handle);
+
+    /// @brief Starts to accept.
+    void start();
+
+    /// @brief Stops accepting and tells callers with idle connections to leave.
+    void stop_accepting();
+
+    /// @brief Replaces the certificates for connections to come.
+    void set_tls(std::shared_ptr<boost::asio::ssl::context> tls);
+
+    /// @brief The port bound, useful when 0 was asked for.
+    [[nodiscard]] std::uint16_t port() const;
+
+    /// @brief Open connections.
+    [[nodiscard]] std::size_t connections() const noexcept {
+        return connections_.load();
+    }
+
+  private:
+    boost::asio::awaitable<void> accept_loop();
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+
+    boost::asio::io_context& context_;
+    server_options options_;
+    handler handle_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::atomic<std::size_t> connections_{0};
+    std::atomic<bool> stopping_{false};
+    std::atomic<std::shared_ptr<boost::asio::ssl::context>> tls_;
+};
+
+/// @brief Loads certificates.
+/// @throw boost::system::system_error if a file can't be used
+[[nodiscard]] std::shared_ptr<boost::asio::ssl::context>
+make_server_tls(const settings::tls_files& files);
+
+} // namespace tarragonspar::http
--- /dev/null
+++ b/include/tarragonspar/runtime/caller_front.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "tarragonspar/http/completion_api.hpp"
+#include "tarragonspar/http/exchange.hpp"
+#include "tarragonspar/runtime/coordinator.hpp"
+#include "tarragonspar/runtime/snapshot.hpp"
+
+namespace tarragonspar::runtime {
+
+/// @brief Serves callers: completions, plain services, questions about requests.
+class caller_front {
+  public:
+    caller_front(std::shared_ptr<coordinator> requests, const snapshot_cell& snapshots);
+
+    /// @brief Handles a request if its path belongs to callers.
+    /// @return false when the path is not one of the callers' interface
+    boost::asio::awaitable<bool> handle(http::exchange& with);
+
+    /// @brief Refuses new requests from now on, because the instance is leaving.
+    void stop() {
+        stopping_ = true;
+    }
+
+  private:
+    struct caller_choice {
+        const config::profile* profile{};
+        std::string workspace;
+        std::string fault;
+    };
+
+    [[nodiscard]] caller_choice read_choice(const http::exchange& with,
+                                            const snapshot& current) const;
+    [[nodiscard]] work_item make_work(const caller_choice& choice) const;
+    boost::asio::awaitable<void> complete(http::exchange& with, bool chat);
+    boost::asio::awaitable<void> stream_answer(http::exchange& with,
+                                               const http::completion_request& request,
+                                               std::shared_ptr<request_record> record,
+                                               std::uint64_t position);
+    boost::asio::awaitable<void> collect_answer(http::exchange& with,
+                                                const http::completion_request& request,
+                                                std::shared_ptr<request_record> record);
+    boost::asio::awaitable<void> call_service(http::exchange& with, std::string target);
+    boost::asio::awaitable<void> relay_service(http::exchange& with,
+                                               std::shared_ptr<request_record> record);
+    boost::asio::awaitable<void> tell_request(http::exchange& with, std::string target);
+    void watch_caller(http::exchange& with, const std::shared_ptr<request_record>& record,
+                      std::uint64_t reader);
+
+    std::shared_ptr<coordinator> requests_;
+    const snapshot_cell& snapshots_;
+    std::atomic<bool> stopping_{false};
+};
+
+} // namespace tarragonspar::runtime
--- /dev/null
+++ b/include/tarragonspar/runtime/config_service.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "tarragonspar/config/state.hpp"
+
+namespace tarragonspar::runtime {
+
+/// @brief Where the accepted configuration comes from.
+class config_service {
+  public:
+    config_service() = default;
+    config_service(const config_service&) = delete;
+    config_service& operator=(const config_service&) = delete;
+    config_service(config_service&&) = delete;
+    config_service& operator=(config_service&&) = delete;
+    virtual ~config_service() = default;
+
+    /// @brief Asks for a change.
+    /// @return the answer, or nothing when it is not known whether the change was accepted; the
+    /// same change may then be sent again under its id
+    virtual boost::asio::awaitable<std::optional<config::change_answer>>
+    propose(config::change change) = 0;
+
+    /// @brief The newest accepted state known here.
+    [[nodiscard]] virtual std::shared_ptr<const config::state> current() const = 0;
+};
+
+/// @brief Configuration of a single instance, kept in memory.
+class local_config final : public config_service {
+  public:
+    using listener = std::function<void(std::shared_ptr<const config::state>)>;
+
+    local_config(config::configuration first, listener on_change);
+
+    boost::asio::awaitable<std::optional<config::change_answer>>
+    propose(config::change change) override;
+    [[nodiscard]] std::shared_ptr<const config::state> current() const override;
+
+  private:
+    mutable std::mutex mutex_;
+    std::shared_ptr<const config::state> state_;
+    listener on_change_;
+};
+
+} // namespace tarragonspar::runtime
--- /dev/null
+++ b/include/tarragonspar/runtime/instance.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "tarragonspar/http/server.hpp"
+#include "tarragonspar/runtime/caller_front.hpp"
+#include "tarragonspar/runtime/config_service.hpp"
+#include "tarragonspar/runtime/coordinator.hpp"
+#include "tarragonspar/runtime/forwarding.hpp"
+#include "tarragonspar/runtime/membership_service.hpp"
+#include "tarragonspar/runtime/operator_front.hpp"
+#include "tarragonspar/runtime/owner.hpp"
+#include "tarragonspar/runtime/snapshot.hpp"
+#include "tarragonspar/settings/instance_settings.hpp"
+#include "tarragonspar/telemetry/metrics.hpp"
+#include "tarragonspar/wire/node.hpp"
+
+namespace tarragonspar::runtime {
+
+/// @brief One entry instance: all parts wired together.
+class instance final : private wire::handler {
+  public:
+    explicit instance(settings::instance_settings settings);
+    instance(const instance&) = delete;
+    instance& operator=(const instance&) = delete;
+    instance(instance&&) = delete;
+    instance& operator=(instance&&) = delete;
+    ~instance() override;
+
+    /// @brief Binds all addresses and starts to serve.
+    /// @return an empty string, or why the instance can't start
+    [[nodiscard]] std::string start();
+
+    /// @brief Leaves: fails the health check, hands queued work to peers, finishes what runs, and
+    /// returns.
+    void shut_down();
+
+    /// @brief Reads certificates and the log level anew.
+    /// @return an empty string, or what was wrong; the old ones then stay in use
+    std::string reload(const settings::instance_settings& fresh);
+
+    /// @brief Port of the HTTP interface.
+    [[nodiscard]] std::uint16_t http_port() const;
+
+  private:
+    void on_enqueue(instance_id from, work_item work, dispatch::call_body call,
+                    std::shared_ptr<wire::remote_request> request) override;
+    void on_withdraw(instance_id from, const request_id& id) override;
+    void on_gossip(instance_id from, wire::gossip_message message,
+                   std::function<void(wire::gossip_message)> reply) override;
+    void on_probe(instance_id target, std::function<void(bool)> reply) override;
+    void on_consensus(instance_id from, std::string messages) override;
+    void on_question(instance_id from, wire::topic about, std::string payload,
+                     std::function<void(wire::answer)> reply) override;
+
+    void make_parts();
+    void make_requests();
+    void make_membership();
+    [[nodiscard]] std::shared_ptr<http::server> make_server();
+    boost::asio::awaitable<void> handle(http::exchange& with);
+    boost::asio::awaitable<std::string> describe_status();
+    void on_configuration(std::shared_ptr<const config::state> state);
+    void on_members(std::vector<instance_id> usable);
+    void assign_servers();
+    void note_finished(const request_record& record, const dispatch::answer_finished& last);
+    [[nodiscard]] std::string domain_of(instance_id id) const;
+    [[nodiscard]] std::string address_of(server_id id) const;
+
+    settings::instance_settings settings_;
+    incarnation started_as_;
+    boost::asio::io_context context_;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> keep_running_;
+    std::vector<std::thread> threads_;
+    telemetry::metrics metrics_;
+    snapshot_cell snapshots_;
+    std::unique_ptr<wire::node> node_;
+    std::unique_ptr<wire_owners> remote_;
+    std::shared_ptr<owner> owner_;
+    std::shared_ptr<coordinator> requests_;
+    std::shared_ptr<membership_service> members_;
+    std::unique_ptr<config_service> configuration_;
+    std::unique_ptr<caller_front> callers_;
+    std::unique_ptr<operator_front> operators_;
+    std::shared_ptr<http::server> server_;
+    std::atomic<bool> healthy_{true};
+    std::mutex assignment_mutex_;
+    std::vector<instance_id> usable_;
+};
+
+} // namespace tarragonspar::runtime
--- /dev/null
+++ b/include/tarragonspar/runtime/request_record.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/experimental/concurrent_channel.hpp>
+
+#include "tarragonspar/dispatch/answer_log.hpp"
+#include "tarragonspar/dispatch/right.hpp"
+#include "tarragonspar/types/work.hpp"
+
+namespace tarragonspar::runtime {
+
+/// @brief A request at the instance that holds its dispatch right, with its answer so far.
+///
+/// Safe to use from several threads. One reader at a time follows the answer.
+class request_record {
+  public:
+    using signal = boost::asio::experimental::concurrent_channel<void(boost::system::error_code)>;
+
+    /// @param max_bytes  answer text kept for readers that come back
+    request_record(const boost::asio::any_io_executor& executor, work_item work_in,
+                   dispatch::call_body call_in, std::size_t max_bytes);
+
+    /// @brief Appends an event; waits while a slow reader is too far behind.
+    /// @return false when nobody wants the rest of the answer
+    boost::asio::awaitable<bool> append(dispatch::answer_event event);
+
+    /// @brief Appends an event at once, whatever the reader does.
+    void append_now(dispatch::answer_event event);
+
+    /// @brief The event at a position; waits until it has come.
+    /// @return nothing when another reader took over or that part is no longer kept
+    boost::asio::awaitable<std::optional<dispatch::answer_event>> read(std::uint64_t reader,
+                                                                       std::uint64_t position);
+
+    /// @brief Makes the caller the one reader.
+    /// @return the reader's number, to be passed to `read`
+    [[nodiscard]] std::uint64_t attach();
+
+    /// @brief Whether a reader is attached.
+    [[nodiscard]] bool has_reader() const noexcept {
+        return attached_.load();
+    }
+
+    /// @brief Ends a reader's attachment.
+    /// @return false when another reader had taken over already
+    bool detach(std::uint64_t reader);
+
+    /// @brief Position to read from to get the answer from a token offset on.
+    [[nodiscard]] std::optional<std::uint64_t> position_of(std::uint64_t token_offset);
+
+    /// @brief The final event, if it has come.
+    [[nodiscard]] std::optional<dispatch::answer_finished> finished();
+
+    /// @brief Tokens received so far.
+    [[nodiscard]] std::uint64_t next_offset();
+
+    /// @brief Nobody wants the rest of the answer.
+    void abandon();
+
+    [[nodiscard]] bool abandoned() const noexcept {
+        return abandoned_.load();
+    }
+
+    const work_item work;
+    const dispatch::call_body call;
+    dispatch::dispatch_right right;
+    std::string profile_name;
+    std::string workspace_name;
+    std::atomic<std::uint32_t> placed_at{0}; ///< instance whose owner has it, 0 before any
+    std::atomic<std::uint8_t> transfers{0};  ///< times that it moved between owners
+    std::atomic<std::int64_t> dispatched_at{0};  ///< microseconds of the decision clock
+    std::atomic<std::int64_t> first_token_at{0}; ///< microseconds of the decision clock
+
+  private:
+    std::mutex mutex_;
+    dispatch::answer_log log_;
+    signal readable_;
+    signal writable_;
+    std::atomic<std::uint64_t> reader_{0};
+    std::atomic<bool> attached_{false};
+    std::atomic<bool> abandoned_{false};
+};
+
+} // namespace tarragonspar::runtime
--- /dev/null
+++ b/include/tarragonspar/telemetry/log.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <string>
+
+#include "tarragonspar/settings/instance_settings.hpp"
+
+namespace tarragonspar::telemetry {
+
+/// @brief Starts glog for a program.
+/// @param program  its name; must outlive the process
+void start_log(const char* program, const settings::log_settings& settings);
+
+/// @brief Changes the level of a running program: `info`, `warning` or `error`.
+void set_log_level(const std::string& level);
+
+/// @brief Builds one structured line of `key=value` pairs; values with spaces are quoted.
+class log_line {
+  public:
+    explicit log_line(std::string_view event) : text_(event) {}
+
+    /// @brief Appends a pair.
+    log_line& add(std::string_view key, std::string_view value);
+    log_line& add(std::string_view key, std::int64_t value);
+
+    [[nodiscard]] const std::string& text() const noexcept {
+        return text_;
+    }
+
+  private:
+    std::string text_;
+};
+
+} // namespace tarragonspar::telemetry
--- /dev/null
+++ b/include/tarragonspar/telemetry/metrics.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include "tarragonspar/types/outcome.hpp"
+#include "tarragonspar/types/units.hpp"
+
+namespace tarragonspar::telemetry {
+
+/// @brief Times and sizes of one finished request.
+struct request_summary {
+    tier urgency{};
+    std::string workspace;
+    std::string kind; ///< `engine` or `service`
+    outcome result{outcome::unknown};
+    reason why{reason::none};
+    bool in_time{false};
+    duration queue_wait{};
+    duration first_token{}; ///< from the arrival; 0 when none came
+    duration total{};
+    std::uint32_t generated{};
+    std::uint32_t wasted_prefill{};
+};
+
+/// @brief Metrics of one instance, with a bounded number of series.
+///
+/// Full histograms stand for each tier and kind; the first workspaces seen get a name of their own
+/// up to a limit, the rest are pooled as `other`.
+class metrics {
+  public:
+    /// @param max_workspaces  workspaces that are shown by name
+    explicit metrics(std::size_t max_workspaces = 20);
+
+    /// @brief Records a finished request.
+    void record(const request_summary& what);
+
+    /// @brief Counts a dispatch to a backend server.
+    void count_dispatch(tier urgency);
+
+    /// @brief Counts a queued request that was handed to another instance.
+    void count_handover();
+
+    /// @brief Records the mean time between tokens of a finished stream.
+    void record_token_interval(tier urgency, duration interval);
+
+    /// @brief Sets how many requests wait in this instance.
+    void set_queued(std::size_t count);
+
+    /// @brief Sets the configuration revision in force.
+    void set_revision(std::uint64_t value);
+
+    /// @brief All series in the Prometheus text format.
+    [[nodiscard]] std::string expose() const;
+
+  private:
+
+    [[nodiscard]] std::string shown_workspace(const std::string& workspace);
+
+    std::shared_ptr<prometheus::Registry> registry_;
+    prometheus::Family<prometheus::Histogram>* queue_wait_;
+    prometheus::Family<prometheus::Histogram>* first_token_;
+    prometheus::Family<prometheus::Histogram>* token_interval_;
+    prometheus::Family<prometheus::Histogram>* total_;
+    prometheus::Family<prometheus::Histogram>* workspace_total_;
+    prometheus::Family<prometheus::Counter>* outcomes_;
+    prometheus::Family<prometheus::Counter>* in_time_;
+    prometheus::Family<prometheus::Counter>* dispatches_;
+    prometheus::Counter* handovers_;
+    prometheus::Counter* wasted_prefill_;
+    prometheus::Gauge* queued_;
+    prometheus::Gauge* revision_;
+    std::size_t max_workspaces_;
+    std::mutex mutex_;
+    std::map<std::string, bool> named_;
+};
+
+} // namespace tarragonspar::telemetry
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -503,8 +503,8 @@
     return source.queued_model.size();
 }
 
-std::vector<model_digest> make_digest(const scheduler& source, time_point now) {
-    std::map<model_id, model_digest> digests;
+std::vector<routing::model_digest> make_digest(const scheduler& source, time_point now) {
+    std::map<model_id, routing::model_digest> digests;
     if (source.draining) {
         return {};
     }
@@ -520,6 +520,9 @@
             digest.model = model;
             digest.slots += window;
             digest.free_slots += window - std::min(window, server.in_flight);
+            digest.prefill_tokens_per_second =
+                std::max(digest.prefill_tokens_per_second,
+                         static_cast<float>(server.speed.prefill_tokens_per_second));
         }
     }
     for (auto& [model, digest] : digests) {
@@ -532,7 +535,7 @@
             static_cast<float>(pool->second.queue.work_ahead({tier_count - 1}));
         digest.lowest_kept = pool->second.queue.lowest_tier();
     }
-    std::vector<model_digest> out;
+    std::vector<routing::model_digest> out;
     for (const auto& [model, digest] : digests) {
         out.push_back(digest);
     }
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,131 @@
+#include "tarragonspar/http/server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include "tarragonspar/http/detail/serve.hpp"
+
+namespace tarragonspar::http {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+/// Connections that may wait to be accepted.
+constexpr int listen_backlog = 1024;
+/// Pause after a failed accept, such as for lack of file descriptors.
+constexpr auto accept_pause = std::chrono::milliseconds{50};
+
+/// Counts a connection for as long as it is served.
+class connection_count {
+  public:
+    explicit connection_count(std::atomic<std::size_t>& count) : count_(count) {
+        ++count_;
+    }
+    connection_count(const connection_count&) = delete;
+    connection_count& operator=(const connection_count&) = delete;
+    connection_count(connection_count&&) = delete;
+    connection_count& operator=(connection_count&&) = delete;
+    ~connection_count() {
+        --count_;
+    }
+
+  private:
+    std::atomic<std::size_t>& count_;
+};
+
+} // namespace
+
+std::string exchange::header(std::string_view name) const {
+    const auto found = request().find(boost::beast::string_view(name.data(), name.size()));
+    return found == request().end() ? std::string{} : std::string(found->value());
+}
+
+server::server(asio::io_context& context, server_options options, handler handle)
+    : context_(context), options_(std::move(options)), handle_(std::move(handle)),
+      acceptor_(asio::make_strand(context)), tls_(options_.tls) {
+    const tcp::endpoint endpoint(asio::ip::make_address(options_.listen.address),
+                                 options_.listen.port);
+    acceptor_.open(endpoint.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(endpoint);
+    acceptor_.listen(listen_backlog);
+}
+
+void server::start() {
+    asio::co_spawn(acceptor_.get_executor(),
+                   [self = shared_from_this()] { return self->accept_loop(); }, asio::detached);
+}
+
+void server::stop_accepting() {
+    stopping_ = true;
+    asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+        boost::system::error_code ignored;
+        self->acceptor_.close(ignored);
+    });
+}
+
+void server::set_tls(std::shared_ptr<asio::ssl::context> tls) {
+    tls_ = std::move(tls);
+}
+
+std::uint16_t server::port() const {
+    return acceptor_.local_endpoint().port();
+}
+
+asio::awaitable<void> server::accept_loop() {
+    while (!stopping_) {
+        auto [error, socket] =
+            co_await acceptor_.async_accept(asio::make_strand(context_), detail::as_result);
+        if (stopping_) {
+            co_return;
+        }
+        if (error) {
+            asio::steady_timer pause(acceptor_.get_executor(), accept_pause);
+            co_await pause.async_wait(detail::as_result);
+            continue;
+        }
+        if (connections_ >= options_.limits.max_connections) {
+            continue; // dropping the socket closes it
+        }
+        auto executor = socket.get_executor();
+        asio::co_spawn(
+            executor,
+            [self = shared_from_this(), connection = std::move(socket)]() mutable {
+                return self->serve(std::move(connection));
+            },
+            asio::detached);
+    }
+}
+
+asio::awaitable<void> server::serve(tcp::socket socket) {
+    const connection_count counted(connections_);
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    const auto tls = tls_.load();
+    const detail::session_context context{
+        .limits = options_.limits, .stopping = stopping_, .handle = handle_};
+    if (tls) {
+        co_await detail::serve_tls(std::move(socket), tls, context);
+    } else {
+        co_await detail::serve_plain(std::move(socket), context);
+    }
+}
+
+std::shared_ptr<asio::ssl::context> make_server_tls(const settings::tls_files& files) {
+    auto tls = std::make_shared<asio::ssl::context>(asio::ssl::context::tls_server);
+    tls->set_options(asio::ssl::context::default_workarounds | asio::ssl::context::no_tlsv1 |
+                     asio::ssl::context::no_tlsv1_1);
+    tls->use_certificate_chain_file(files.certificate);
+    tls->use_private_key_file(files.private_key, asio::ssl::context::pem);
+    if (!files.authorities.empty()) {
+        tls->load_verify_file(files.authorities);
+        tls->set_verify_mode(asio::ssl::verify_peer | asio::ssl::verify_fail_if_no_peer_cert);
+    }
+    return tls;
+}
+
+} // namespace tarragonspar::http
--- /dev/null
+++ b/src/routing/placement.cpp
@@ -0,0 +1,222 @@
+#include "tarragonspar/routing/placement.hpp"
+
+#include <algorithm>
+#include <bit>
+
+namespace tarragonspar::routing {
+
+namespace {
+
+/// Digests older than this say nothing about free slots.
+constexpr duration max_digest_age = std::chrono::seconds{3};
+
+/// The servers of a model that a workspace normally uses, by rendezvous weight.
+std::vector<const placed_server*> subset_of(const std::vector<placed_server>& all,
+                                            const work_item& work, std::size_t size) {
+    std::vector<std::pair<std::uint64_t, const placed_server*>> weighted;
+    const auto key = hash_pair(work.workspace.value, work.model.value);
+    for (const auto& server : all) {
+        if (server.active) {
+            weighted.emplace_back(hash_pair(key, server.id.value), &server);
+        }
+    }
+    const auto count = std::min(size, weighted.size());
+    std::partial_sort(weighted.begin(), weighted.begin() + static_cast<std::ptrdiff_t>(count),
+                      weighted.end(), std::greater<>());
+    std::vector<const placed_server*> subset;
+    for (std::size_t i = 0; i < count; ++i) {
+        subset.push_back(weighted[i].second);
+    }
+    return subset;
+}
+
+/// The server of a subset that a prefix starts out on.
+const placed_server* home_of(const std::vector<const placed_server*>& subset, std::uint64_t key) {
+    const placed_server* home = nullptr;
+    std::uint64_t best = 0;
+    for (const auto* server : subset) {
+        const auto weight = hash_pair(key, server->id.value);
+        if (home == nullptr || weight > best) {
+            home = server;
+            best = weight;
+        }
+    }
+    return home;
+}
+
+std::optional<instance_id> known_owner(const placement& source, std::uint64_t key) {
+    const auto found = source.prefixes.find(key);
+    return found == source.prefixes.end() ? std::nullopt : std::optional{found->second->second};
+}
+
+void remember_owner(placement& target, std::uint64_t key, instance_id owner) {
+    const auto found = target.prefixes.find(key);
+    if (found != target.prefixes.end()) {
+        found->second->second = owner;
+        target.recency.splice(target.recency.begin(), target.recency, found->second);
+        return;
+    }
+    target.recency.emplace_front(key, owner);
+    target.prefixes.emplace(key, target.recency.begin());
+    if (target.prefixes.size() > target.options.known_prefixes) {
+        target.prefixes.erase(target.recency.back().first);
+        target.recency.pop_back();
+    }
+}
+
+/// Predicted wait at an owner before a server starts on a newcomer.
+double predicted_wait(const placement& source, const owner_view& owner, time_point now) {
+    auto wait = owner.local_domain ? 0.0 : source.options.remote_penalty_seconds;
+    if (now - owner.heard > max_digest_age) {
+        return wait + source.options.busy_seconds;
+    }
+    if (owner.digest.free_slots == 0 || owner.digest.queued > 0) {
+        wait += source.options.busy_seconds;
+        wait += owner.digest.queued_seconds / std::max(1U, owner.digest.slots);
+    } else {
+        // Spreads requests in proportion to what is free, and breaks ties between idle owners.
+        const auto used = 1.0 - static_cast<double>(owner.digest.free_slots) /
+                                    std::max(1U, owner.digest.slots);
+        wait += used * source.options.busy_seconds * 0.1;
+    }
+    return wait;
+}
+
+/// Time that a request saves where its prefix is cached.
+double prefill_saved(const work_item& work, const owner_view& owner) {
+    const auto speed = owner.digest.prefill_tokens_per_second;
+    const auto cached = work.blocks.size() * block_tokens;
+    return speed > 0.0F ? static_cast<double>(cached) / speed : 0.0;
+}
+
+void note_sent(owner_view& owner, const work_item& work) {
+    if (owner.digest.free_slots > 0) {
+        --owner.digest.free_slots;
+        return;
+    }
+    ++owner.digest.queued;
+    owner.digest.queued_seconds += static_cast<float>(work.max_output.value) * 0.01F;
+}
+
+bool contains(const std::vector<instance_id>& list, instance_id id) {
+    return std::find(list.begin(), list.end(), id) != list.end();
+}
+
+struct candidate {
+    instance_id owner;
+    double cost{};
+    std::uint32_t free{};
+};
+
+std::optional<candidate> best_owner(placement& target, const work_item& work,
+                                    const std::vector<const placed_server*>& servers,
+                                    std::optional<instance_id> cached_at, bool known,
+                                    const std::vector<instance_id>& avoid, time_point now) {
+    auto& owners = target.owners[work.model];
+    std::optional<candidate> best;
+    for (const auto* server : servers) {
+        if (contains(avoid, server->owner)) {
+            continue;
+        }
+        auto& owner = owners[server->owner];
+        owner.local_domain = server->local_domain;
+        auto cost = predicted_wait(target, owner, now);
+        if (target.options.affinity && cached_at == server->owner) {
+            cost -= known ? prefill_saved(work, owner) : 0.02;
+        }
+        if (!best || cost < best->cost) {
+            best = candidate{
+                .owner = server->owner, .cost = cost, .free = owner.digest.free_slots};
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+std::uint64_t prefix_key(const work_item& work, std::uint32_t root_blocks) {
+    const auto own = hash_pair(work.workspace.value, work.model.value);
+    if (work.blocks.empty()) {
+        return own;
+    }
+    const auto whole = std::min<std::size_t>(work.blocks.size(), root_blocks);
+    const auto depth = std::bit_floor(whole);
+    return hash_pair(own, work.blocks[depth - 1].value);
+}
+
+void set_servers(placement& target, const std::vector<placed_server>& servers) {
+    target.servers.clear();
+    std::map<model_id, std::map<instance_id, owner_view>> kept;
+    for (const auto& server : servers) {
+        for (const auto model : server.offers) {
+            target.servers[model].push_back(server);
+            auto& owner = kept[model][server.owner];
+            const auto known = target.owners.find(model);
+            if (known != target.owners.end() && known->second.contains(server.owner)) {
+                owner = known->second.at(server.owner);
+            }
+            owner.local_domain = server.local_domain;
+        }
+    }
+    target.owners = std::move(kept);
+}
+
+void set_digest(placement& target, instance_id owner,
+                const std::vector<model_digest>& digest, time_point now) {
+    for (const auto& item : digest) {
+        const auto model = target.owners.find(item.model);
+        if (model == target.owners.end()) {
+            continue;
+        }
+        const auto view = model->second.find(owner);
+        if (view == model->second.end()) {
+            continue;
+        }
+        view->second.digest = item;
+        view->second.heard = now;
+    }
+}
+
+void remove_owner(placement& target, instance_id owner) {
+    for (auto& [model, owners] : target.owners) {
+        owners.erase(owner);
+    }
+    for (auto& [model, servers] : target.servers) {
+        std::erase_if(servers, [&](const auto& server) { return server.owner == owner; });
+    }
+}
+
+std::optional<instance_id> choose_owner(placement& target, const work_item& work,
+                                        const std::vector<instance_id>& avoid, time_point now) {
+    const auto found = target.servers.find(work.model);
+    if (found == target.servers.end()) {
+        return std::nullopt;
+    }
+    const auto key = prefix_key(work, target.options.root_blocks);
+    const auto subset = subset_of(found->second, work, target.options.subset_size);
+    auto cached_at = known_owner(target, key);
+    const auto known = cached_at.has_value();
+    if (const auto* home = home_of(subset, key); !known && home != nullptr) {
+        cached_at = home->owner;
+    }
+    auto best = best_owner(target, work, subset, cached_at, known, avoid, now);
+    if (!best || best->free == 0) {
+        std::vector<const placed_server*> all;
+        for (const auto& server : found->second) {
+            if (server.active) {
+                all.push_back(&server);
+            }
+        }
+        best = best_owner(target, work, all, cached_at, known, avoid, now);
+    }
+    if (!best) {
+        return std::nullopt;
+    }
+    note_sent(target.owners[work.model][best->owner], work);
+    if (!work.blocks.empty()) {
+        remember_owner(target, key, best->owner);
+    }
+    return best->owner;
+}
+
+} // namespace tarragonspar::routing
--- /dev/null
+++ b/src/runtime/coordinator.cpp
@@ -0,0 +1,298 @@
+#include "tarragonspar/runtime/coordinator.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "tarragonspar/runtime/clock.hpp"
+
+namespace tarragonspar::runtime {
+
+namespace asio = boost::asio;
+using dispatch::answer_finished;
+
+namespace {
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+
+/// Owner's ends, passed from the owner's threads to the coroutine that waits for them.
+using end_channel =
+    asio::experimental::concurrent_channel<void(boost::system::error_code, owner_end)>;
+
+/// The link of a request whose right is held in this process.
+class local_link final : public right_holder_link {
+  public:
+    local_link(std::shared_ptr<request_record> record, std::shared_ptr<end_channel> ends)
+        : record_(std::move(record)), ends_(std::move(ends)) {}
+
+    asio::awaitable<bool> acquire(server_id server) override {
+        const auto granted = record_->right.grant(server);
+        if (granted) {
+            record_->dispatched_at = now().time_since_epoch().count();
+        }
+        co_return granted;
+    }
+
+    asio::awaitable<void> give_back(server_id server) override {
+        record_->right.take_back(server);
+        co_return;
+    }
+
+    asio::awaitable<bool> deliver(dispatch::answer_event event) override {
+        return record_->append(std::move(event));
+    }
+
+    void conclude(owner_end end) override {
+        ends_->try_send(boost::system::error_code{}, std::move(end));
+    }
+
+  private:
+    std::shared_ptr<request_record> record_;
+    std::shared_ptr<end_channel> ends_;
+};
+
+/// Whether another owner may do better than one that refused.
+bool is_worth_another_owner(reason why) {
+    return why == reason::no_server || why == reason::shutting_down || why == reason::peer_lost;
+}
+
+} // namespace
+
+coordinator::coordinator(asio::io_context& context, const coordinator_options& options,
+                         std::shared_ptr<owner> local, remote_owners& remote,
+                         const http::engine_client_options& client, address_lookup addresses)
+    : context_(context), options_(options), local_(std::move(local)), remote_(remote),
+      client_(client), addresses_(std::move(addresses)) {}
+
+request_id coordinator::next_id() {
+    return {.issuer = options_.self, .issued_in = options_.started_as, .sequence = ++sequence_};
+}
+
+coordinator::shard& coordinator::shard_of(const request_id& id) {
+    return shards_.at(std::hash<request_id>{}(id) % shard_count);
+}
+
+std::shared_ptr<request_record> coordinator::submit(work_item work, dispatch::call_body call,
+                                                    std::string profile, std::string workspace) {
+    const auto id = work.id;
+    auto record = std::make_shared<request_record>(context_.get_executor(), std::move(work),
+                                                   std::move(call), options_.answer_bytes);
+    record->profile_name = std::move(profile);
+    record->workspace_name = std::move(workspace);
+    auto& home = shard_of(id);
+    {
+        const std::lock_guard lock(home.mutex);
+        const auto [found, added] = home.records.emplace(id, record);
+        if (!added) {
+            return found->second;
+        }
+    }
+    ++open_;
+    asio::co_spawn(asio::make_strand(context_), drive(record), asio::detached);
+    return record;
+}
+
+std::shared_ptr<request_record> coordinator::find(const request_id& id) {
+    auto& home = shard_of(id);
+    const std::lock_guard lock(home.mutex);
+    const auto found = home.records.find(id);
+    return found == home.records.end() ? nullptr : found->second;
+}
+
+void coordinator::set_servers(const std::vector<routing::placed_server>& servers) {
+    const std::lock_guard lock(placement_mutex_);
+    routing::set_servers(placement_, servers);
+}
+
+void coordinator::set_digest(instance_id owner_id,
+                             const std::vector<routing::model_digest>& digest) {
+    const std::lock_guard lock(placement_mutex_);
+    routing::set_digest(placement_, owner_id, digest, now());
+}
+
+void coordinator::remove_owner(instance_id owner_id) {
+    const std::lock_guard lock(placement_mutex_);
+    routing::remove_owner(placement_, owner_id);
+}
+
+std::optional<instance_id> coordinator::place(const request_record& record, attempt_state& state) {
+    if (state.next) {
+        return std::exchange(state.next, std::nullopt);
+    }
+    const std::lock_guard lock(placement_mutex_);
+    return routing::choose_owner(placement_, record.work, state.avoid, now());
+}
+
+void coordinator::finish_unrun(request_record& record, reason why, duration retry_after) {
+    if (record.right.withdraw()) {
+        record.append_now(answer_finished{
+            .result = outcome::not_executed, .why = why, .retry_after = retry_after});
+    } else {
+        record.append_now(
+            answer_finished{.result = outcome::unknown, .why = reason::server_lost});
+    }
+}
+
+void coordinator::watch_deadline(const std::shared_ptr<request_record>& record) {
+    const auto timer = std::make_shared<asio::steady_timer>(context_);
+    timer->expires_after(std::max(duration{0}, record->work.deadline - now()));
+    timer->async_wait([self = shared_from_this(), record, timer](boost::system::error_code) {
+        if (record->finished() || !record->right.withdraw()) {
+            return;
+        }
+        record->append_now(answer_finished{.result = outcome::not_executed,
+                                           .why = reason::deadline_passed,
+                                           .retry_after = std::chrono::seconds{1}});
+    });
+}
+
+asio::awaitable<void> coordinator::drive(std::shared_ptr<request_record> record) {
+    const auto self = shared_from_this();
+    watch_deadline(record);
+    attempt_state state;
+    while (!record->finished()) {
+        const auto target = place(*record, state);
+        if (!target || state.attempts >= options_.max_attempts) {
+            finish_unrun(*record, target ? reason::overloaded : reason::no_server,
+                         std::chrono::seconds{2});
+            break;
+        }
+        ++state.attempts;
+        auto end = co_await run_at(*target, record);
+        const auto over = co_await settle(record, *target, std::move(end), state);
+        if (over) {
+            break;
+        }
+    }
+    --open_;
+    if (const auto last = record->finished(); last && on_finished) {
+        on_finished(*record, *last);
+    }
+    forget_later(record);
+}
+
+asio::awaitable<bool> coordinator::settle(std::shared_ptr<request_record> record,
+                                          instance_id target, owner_end end,
+                                          attempt_state& state) {
+    if (std::holds_alternative<leg_over>(end)) {
+        if (!record->finished()) {
+            record->append_now(
+                answer_finished{.result = outcome::unknown, .why = reason::server_lost});
+        }
+        co_return true;
+    }
+    if (const auto* moved = std::get_if<dispatch::transfer>(&end)) {
+        state.next = moved->peer;
+        ++record->transfers;
+        co_return false;
+    }
+    if (const auto* refused = std::get_if<dispatch::refuse>(&end)) {
+        // A refusal states that nothing was written, so a grant whose answer was lost comes back.
+        if (const auto server = record->right.granted_to()) {
+            record->right.take_back(*server);
+        }
+        if (is_worth_another_owner(refused->why)) {
+            state.avoid.push_back(target);
+            co_return false;
+        }
+        finish_unrun(*record, refused->why, refused->retry_after);
+        co_return true;
+    }
+    // The owner is out of reach: without a grant it can't have dispatched and never will.
+    if (const auto server = record->right.granted_to()) {
+        co_await resume(record, *server);
+        co_return true;
+    }
+    state.avoid.push_back(target);
+    co_return false;
+}
+
+asio::awaitable<owner_end> coordinator::run_at(instance_id target,
+                                               std::shared_ptr<request_record> record) {
+    record->placed_at = target.value;
+    if (target == options_.self) {
+        co_return co_await run_locally(std::move(record));
+    }
+    co_return co_await remote_.run(target, std::move(record));
+}
+
+asio::awaitable<owner_end> coordinator::run_locally(std::shared_ptr<request_record> record) {
+    const auto ends = std::make_shared<end_channel>(context_, 1);
+    owned_request request;
+    request.work = record->work;
+    request.work.transfers = record->transfers;
+    request.call = record->call;
+    request.link = std::make_shared<local_link>(record, ends);
+    local_->enqueue(std::move(request));
+    auto [error, end] = co_await ends->async_receive(as_result);
+    co_return error ? owner_end{link_lost{}} : std::move(end);
+}
+
+asio::awaitable<void> coordinator::resume(std::shared_ptr<request_record> record,
+                                          server_id server) {
+    http::leg_request leg;
+    leg.id = record->work.id;
+    leg.server = server;
+    leg.address = addresses_(server);
+    leg.call = record->call;
+    leg.control = std::make_shared<http::leg_control>();
+    if (leg.address.empty() || record->call.plain) {
+        record->append_now(
+            answer_finished{.result = outcome::unknown, .why = reason::peer_lost});
+        co_return;
+    }
+    http::leg_hooks hooks;
+    hooks.deliver = [record](dispatch::answer_event event) {
+        return record->append(std::move(event));
+    };
+    co_await http::resume_leg(client_, std::move(leg), record->next_offset(), std::move(hooks));
+}
+
+void coordinator::caller_left(const std::shared_ptr<request_record>& record,
+                              std::uint64_t reader) {
+    if (record->finished()) {
+        return;
+    }
+    asio::co_spawn(context_, cancel_later(record, reader), asio::detached);
+}
+
+asio::awaitable<void> coordinator::cancel_later(std::shared_ptr<request_record> record,
+                                                std::uint64_t reader) {
+    const auto self = shared_from_this();
+    if (record->right.granted_to()) {
+        if (!record->work.idempotent) {
+            co_return; // a booking goes on, and its record answers a later question
+        }
+        asio::steady_timer grace(co_await asio::this_coro::executor, options_.reattach_grace);
+        co_await grace.async_wait(as_result);
+    }
+    if (record->finished() || !record->detach(reader)) {
+        co_return;
+    }
+    if (record->right.withdraw()) {
+        record->append_now(
+            answer_finished{.result = outcome::not_executed, .why = reason::caller_gone});
+    } else if (!record->work.idempotent) {
+        co_return;
+    }
+    record->abandon();
+    if (const instance_id at{record->placed_at}; at == options_.self) {
+        local_->withdraw(record->work.id);
+    } else {
+        remote_.withdraw(at, record->work.id);
+    }
+}
+
+void coordinator::forget_later(const std::shared_ptr<request_record>& record) {
+    auto& home = shard_of(record->work.id);
+    const std::lock_guard lock(home.mutex);
+    home.finished.push_back(record->work.id);
+    if (home.finished.size() > options_.finished_kept / shard_count) {
+        home.records.erase(home.finished.front());
+        home.finished.pop_front();
+    }
+}
+
+} // namespace tarragonspar::runtime
--- /dev/null
+++ b/src/runtime/instance.cpp
@@ -0,0 +1,424 @@
+#include "tarragonspar/runtime/instance.hpp"
+
+#include <set>
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+#include "tarragonspar/membership/ownership.hpp"
+#include "tarragonspar/runtime/await_reply.hpp"
+#include "tarragonspar/runtime/clock.hpp"
+#include "tarragonspar/telemetry/log.hpp"
+
+namespace tarragonspar::runtime {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Pause between two looks at whether the last request has ended.
+constexpr auto drain_poll = std::chrono::milliseconds{20};
+
+/// A number that is higher at every start of this process, as long as the clock is not set back
+/// by more than the time between two starts.
+incarnation make_incarnation() {
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(since_epoch);
+    return {static_cast<std::uint64_t>(micros.count())};
+}
+
+wire::node_options make_node_options(const settings::instance_settings& from) {
+    wire::node_options options;
+    options.self = from.id;
+    options.listen = from.wire;
+    options.tls = from.wire_tls;
+    for (const auto& peer : from.peers) {
+        options.peers.emplace(peer.id, peer.wire);
+    }
+    return options;
+}
+
+duration since(const request_record& record, std::int64_t micros) {
+    return micros == 0 ? duration{} : time_point{duration{micros}} - record.work.arrival;
+}
+
+} // namespace
+
+instance::instance(settings::instance_settings settings)
+    : settings_(std::move(settings)), started_as_(make_incarnation()),
+      context_(static_cast<int>(settings_.threads)),
+      keep_running_(asio::make_work_guard(context_)),
+      snapshots_(make_snapshot(settings_.configuration)) {
+    make_parts();
+}
+
+instance::~instance() {
+    context_.stop();
+    for (auto& thread : threads_) {
+        if (thread.joinable()) {
+            thread.join();
+        }
+    }
+    if (node_) {
+        node_->stop();
+    }
+}
+
+void instance::make_parts() {
+    node_ = std::make_unique<wire::node>(make_node_options(settings_),
+                                         static_cast<wire::handler&>(*this));
+    make_requests();
+    make_membership();
+    configuration_ = std::make_unique<local_config>(
+        settings_.configuration,
+        [this](std::shared_ptr<const config::state> state) { on_configuration(std::move(state)); });
+    operator_front::hooks uses;
+    uses.status = [this] { return describe_status(); };
+    if (settings_.test_hooks) {
+        uses.cut_off = [this](std::set<instance_id> peers) { node_->cut_off(std::move(peers)); };
+    }
+    operators_ = std::make_unique<operator_front>(*configuration_, settings_.operator_tokens,
+                                                  std::move(uses));
+    callers_ = std::make_unique<caller_front>(requests_, snapshots_);
+}
+
+void instance::make_requests() {
+    const http::engine_client_options client;
+    owner_ = std::make_shared<owner>(context_, dispatch::scheduler_options{}, client, metrics_);
+    remote_ = std::make_unique<wire_owners>(
+        context_, *node_,
+        [this](instance_id from, const std::vector<routing::model_digest>& digest) {
+            requests_->set_digest(from, digest);
+            owner_->set_peer_digest(from, digest);
+        });
+    coordinator_options options;
+    options.self = settings_.id;
+    options.started_as = started_as_;
+    requests_ = std::make_shared<coordinator>(context_, options, owner_, *remote_, client,
+                                              [this](server_id id) { return address_of(id); });
+    requests_->on_finished = [this](const request_record& record,
+                                    const dispatch::answer_finished& last) {
+        note_finished(record, last);
+    };
+}
+
+void instance::make_membership() {
+    std::vector<instance_id> peers;
+    for (const auto& peer : settings_.peers) {
+        peers.push_back(peer.id);
+    }
+    membership_service::hooks uses;
+    uses.own_news = [this](auto use) {
+        owner_->with_digest([this, use = std::move(use)](std::vector<routing::model_digest> own) {
+            requests_->set_digest(settings_.id, own);
+            use(std::move(own), configuration_->current()->current.number);
+        });
+    };
+    uses.on_news = [this](instance_id from, const wire::gossip_message& message) {
+        requests_->set_digest(from, message.digest);
+        owner_->set_peer_digest(from, message.digest);
+    };
+    uses.on_change = [this](std::vector<instance_id> usable) { on_members(std::move(usable)); };
+    members_ = std::make_shared<membership_service>(
+        context_, membership_options{},
+        membership::member{.id = settings_.id, .started_as = started_as_}, peers, *node_,
+        std::move(uses));
+}
+
+std::shared_ptr<http::server> instance::make_server() {
+    http::server_options options;
+    options.listen = settings_.http;
+    options.limits = settings_.limits;
+    if (!settings_.caller_tls.certificate.empty()) {
+        options.tls = http::make_server_tls(settings_.caller_tls);
+    }
+    return std::make_shared<http::server>(
+        context_, std::move(options), [this](http::exchange& with) { return handle(with); });
+}
+
+std::string instance::start() {
+    if (settings_.wire.port != 0) {
+        if (auto fault = node_->start(); !fault.empty()) {
+            return "the address for other instances: " + fault;
+        }
+    }
+    try {
+        server_ = make_server();
+    } catch (const std::exception& error) {
+        return std::string("the address for callers: ") + error.what();
+    }
+    on_members({settings_.id});
+    owner_->start();
+    members_->start();
+    server_->start();
+    for (std::uint32_t i = 0; i < settings_.threads; ++i) {
+        threads_.emplace_back([this] { context_.run(); });
+    }
+    LOG(INFO) << telemetry::log_line("started")
+                     .add("instance", settings_.id.value)
+                     .add("failure_domain", settings_.failure_domain)
+                     .add("http", settings::to_string(settings_.http))
+                     .text();
+    return {};
+}
+
+std::uint16_t instance::http_port() const {
+    return server_->port();
+}
+
+void instance::shut_down() {
+    healthy_ = false;
+    LOG(INFO) << telemetry::log_line("leaving").add("instance", settings_.id.value).text();
+    std::this_thread::sleep_for(settings_.leave_notice);
+    members_->leave();
+    owner_->drain();
+    const auto give_up = std::chrono::steady_clock::now() + settings_.drain_timeout;
+    bool accepting = true;
+    while (std::chrono::steady_clock::now() < give_up) {
+        std::this_thread::sleep_for(drain_poll);
+        if (requests_->open_requests() > 0 || owner_->load() > 0) {
+            continue;
+        }
+        if (accepting) {
+            // Callers that still come while the last requests end are served.
+            accepting = false;
+            callers_->stop();
+            server_->stop_accepting();
+            continue;
+        }
+        break;
+    }
+    callers_->stop();
+    server_->stop_accepting();
+    owner_->stop();
+    members_->stop();
+    std::this_thread::sleep_for(drain_poll);
+    LOG(INFO) << telemetry::log_line("left").add("instance", settings_.id.value).text();
+}
+
+std::string instance::reload(const settings::instance_settings& fresh) {
+    telemetry::set_log_level(fresh.log.level);
+    if (fresh.caller_tls.certificate.empty()) {
+        return {};
+    }
+    try {
+        server_->set_tls(http::make_server_tls(fresh.caller_tls));
+    } catch (const std::exception& error) {
+        return error.what();
+    }
+    return {};
+}
+
+asio::awaitable<void> instance::handle(http::exchange& with) {
+    const auto view = with.request().target();
+    const std::string target(view.data(), view.size());
+    if (target == "/health") {
+        http::reply out;
+        out.status = healthy_ ? 200 : 503;
+        out.body = healthy_ ? R"({"state":"ready"})" : R"({"state":"leaving"})";
+        co_await with.respond(std::move(out));
+        co_return;
+    }
+    if (target == "/metrics") {
+        http::reply out;
+        out.content_type = "text/plain; version=0.0.4";
+        out.body = metrics_.expose();
+        co_await with.respond(std::move(out));
+        co_return;
+    }
+    bool handled = co_await operators_->handle(with);
+    if (!handled) {
+        handled = co_await callers_->handle(with);
+    }
+    if (!handled) {
+        co_await with.respond(http::format_error(404, "no such path"));
+    }
+}
+
+asio::awaitable<std::string> instance::describe_status() {
+    const auto queues = co_await await_reply<std::string>(
+        [this](auto reply) { owner_->with_status(std::move(reply)); });
+    auto members = co_await await_reply<nlohmann::json>([this](auto reply) {
+        members_->with_view([reply](const membership::view& view) {
+            constexpr std::string_view names[] = {"alive", "suspect", "leaving", "dead"};
+            auto list = nlohmann::json::array();
+            for (const auto& [id, state] : view.others) {
+                list.push_back({{"id", id.value},
+                                {"status", names[static_cast<std::size_t>(state.what.status)]}});
+            }
+            reply(std::move(list));
+        });
+    });
+    nlohmann::json out{{"instance", settings_.id.value},
+                       {"failure_domain", settings_.failure_domain},
+                       {"revision", configuration_->current()->current.number.value},
+                       {"open_requests", requests_->open_requests()},
+                       {"connections", server_->connections()},
+                       {"members", std::move(members)},
+                       {"owner", nlohmann::json::parse(queues)}};
+    co_return out.dump();
+}
+
+void instance::on_configuration(std::shared_ptr<const config::state> state) {
+    snapshots_.store(make_snapshot(state->current));
+    metrics_.set_revision(state->current.number.value);
+    assign_servers();
+}
+
+void instance::on_members(std::vector<instance_id> usable) {
+    std::vector<instance_id> gone;
+    {
+        const std::lock_guard lock(assignment_mutex_);
+        std::set<instance_id> present(usable.begin(), usable.end());
+        for (const auto id : usable_) {
+            if (!present.contains(id)) {
+                gone.push_back(id);
+            }
+        }
+        usable_ = std::move(usable);
+    }
+    for (const auto id : gone) {
+        LOG(INFO) << telemetry::log_line("peer_gone").add("peer", id.value).text();
+        requests_->remove_owner(id);
+        owner_->remove_peer(id);
+    }
+    assign_servers();
+}
+
+std::string instance::domain_of(instance_id id) const {
+    if (id == settings_.id) {
+        return settings_.failure_domain;
+    }
+    for (const auto& peer : settings_.peers) {
+        if (peer.id == id) {
+            return peer.failure_domain;
+        }
+    }
+    return {};
+}
+
+std::string instance::address_of(server_id id) const {
+    const auto current = snapshots_.load();
+    const auto found = current->configuration.servers.find(id);
+    return found == current->configuration.servers.end() ? std::string{} : found->second.address;
+}
+
+void instance::assign_servers() {
+    const std::lock_guard lock(assignment_mutex_);
+    const auto current = snapshots_.load();
+    std::vector<membership::live_instance> live;
+    for (const auto id : usable_) {
+        live.push_back({.id = id, .failure_domain = domain_of(id)});
+    }
+    const auto owners = membership::assign_owners(current->configuration.servers, live);
+    std::vector<config::server> owned;
+    std::vector<routing::placed_server> placed;
+    for (const auto& [id, server] : current->configuration.servers) {
+        const auto found = owners.find(id);
+        if (found == owners.end()) {
+            continue;
+        }
+        if (found->second == settings_.id) {
+            owned.push_back(server);
+        }
+        routing::placed_server item;
+        item.id = id;
+        item.owner = found->second;
+        for (const auto& name : server.offers) {
+            item.offers.push_back({hash_name(name)});
+        }
+        item.local_domain = server.failure_domain == settings_.failure_domain;
+        item.active = server.state == config::server_state::active;
+        placed.push_back(std::move(item));
+    }
+    std::vector<config::workspace_limit> limits;
+    for (const auto& [name, limit] : current->configuration.limits) {
+        limits.push_back(limit);
+    }
+    owner_->set_servers(std::move(owned), std::move(limits));
+    requests_->set_servers(placed);
+}
+
+void instance::note_finished(const request_record& record,
+                             const dispatch::answer_finished& last) {
+    const auto ended = now();
+    telemetry::request_summary summary;
+    summary.urgency = record.work.urgency;
+    summary.workspace = record.workspace_name;
+    summary.kind = record.call.plain ? "service" : "engine";
+    summary.result = last.result;
+    summary.why = last.why;
+    summary.in_time = last.result == outcome::answered && ended <= record.work.deadline;
+    summary.queue_wait = since(record, record.dispatched_at);
+    summary.first_token = since(record, record.first_token_at);
+    summary.total = ended - record.work.arrival;
+    summary.generated = last.generated.value;
+    if (last.result == outcome::unknown && !record.call.plain && record.first_token_at != 0) {
+        summary.wasted_prefill = record.work.prompt.value;
+    }
+    metrics_.record(summary);
+    if (last.generated.value > 1 && !record.call.plain) {
+        const auto decoding = summary.total - summary.first_token;
+        metrics_.record_token_interval(summary.urgency, decoding / (last.generated.value - 1));
+    }
+    const auto server = record.right.granted_to();
+    LOG(INFO) << telemetry::log_line("request")
+                     .add("id", to_string(record.work.id))
+                     .add("outcome", to_string(last.result))
+                     .add("reason", to_string(last.why))
+                     .add("tier", record.work.urgency.value)
+                     .add("profile", record.profile_name)
+                     .add("workspace", record.workspace_name)
+                     .add("server", server ? server->value : 0)
+                     .add("owner", record.placed_at.load())
+                     .add("wait_us", summary.queue_wait.count())
+                     .add("first_token_us", summary.first_token.count())
+                     .add("total_us", summary.total.count())
+                     .add("prompt_tokens", record.work.prompt.value)
+                     .add("cached_tokens", last.cached.value)
+                     .add("generated_tokens", last.generated.value)
+                     .text();
+}
+
+void instance::on_enqueue(instance_id from, work_item work, dispatch::call_body call,
+                          std::shared_ptr<wire::remote_request> request) {
+    (void)from;
+    owned_request item;
+    item.work = std::move(work);
+    item.call = std::move(call);
+    item.link = make_remote_link(std::move(request), owner_);
+    owner_->enqueue(std::move(item));
+}
+
+void instance::on_withdraw(instance_id from, const request_id& id) {
+    (void)from;
+    owner_->withdraw(id);
+}
+
+void instance::on_gossip(instance_id from, wire::gossip_message message,
+                         std::function<void(wire::gossip_message)> reply) {
+    members_->on_gossip(from, std::move(message), std::move(reply));
+}
+
+void instance::on_probe(instance_id target, std::function<void(bool)> reply) {
+    if (target == settings_.id) {
+        reply(true);
+        return;
+    }
+    node_->probe(target, target, std::move(reply));
+}
+
+void instance::on_consensus(instance_id from, std::string messages) {
+    (void)from;
+    (void)messages;
+}
+
+void instance::on_question(instance_id from, wire::topic about, std::string payload,
+                           std::function<void(wire::answer)> reply) {
+    (void)from;
+    (void)about;
+    (void)payload;
+    reply({});
+}
+
+} // namespace tarragonspar::runtime
--- /dev/null
+++ b/src/runtime/membership_service.cpp
@@ -0,0 +1,158 @@
+#include "tarragonspar/runtime/membership_service.hpp"
+
+#include "tarragonspar/runtime/clock.hpp"
+
+namespace tarragonspar::runtime {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Other peers asked whether they can reach one that did not answer.
+constexpr std::size_t max_probes = 2;
+
+} // namespace
+
+membership_service::membership_service(asio::io_context& context,
+                                       const membership_options& options,
+                                       const membership::member& self,
+                                       const std::vector<instance_id>& peers, wire::node& node,
+                                       hooks uses)
+    : strand_(asio::make_strand(context)), timer_(strand_), options_(options),
+      view_(membership::make_view(options.view, self, peers, now())), node_(node),
+      uses_(std::move(uses)), random_(self.started_as.value ^ self.id.value) {}
+
+void membership_service::start() {
+    asio::post(strand_, [self = shared_from_this()] {
+        self->report_if_changed();
+        // All peers are greeted at once, so that a starting instance is known quickly.
+        for (const auto& [id, state] : self->view_.others) {
+            self->exchange_with(id);
+        }
+        self->tick();
+    });
+}
+
+void membership_service::stop() {
+    asio::post(strand_, [self = shared_from_this()] {
+        self->stopped_ = true;
+        self->timer_.cancel();
+    });
+}
+
+void membership_service::tick() {
+    if (stopped_) {
+        return;
+    }
+    membership::on_time(view_, now());
+    report_if_changed();
+    if (const auto target = membership::next_target(view_, random_)) {
+        exchange_with(*target);
+    }
+    timer_.expires_after(options_.interval);
+    timer_.async_wait([self = shared_from_this()](boost::system::error_code error) {
+        if (!error) {
+            self->tick();
+        }
+    });
+}
+
+void membership_service::exchange_with(instance_id peer) {
+    const auto self = shared_from_this();
+    uses_.own_news([self, peer](std::vector<routing::model_digest> digest, revision newest) {
+        asio::post(self->strand_, [self, peer, digest = std::move(digest), newest] {
+            wire::gossip_message message{.self = self->view_.self,
+                                         .members = membership::updates_to_send(self->view_),
+                                         .digest = digest,
+                                         .newest = newest};
+            self->node_.gossip(
+                peer, std::move(message), [self, peer](std::optional<wire::gossip_message> reply) {
+                    asio::post(self->strand_, [self, peer, reply = std::move(reply)] {
+                        if (reply) {
+                            self->take(peer, *reply);
+                        } else {
+                            self->ask_others_about(peer);
+                        }
+                    });
+                });
+        });
+    });
+}
+
+void membership_service::ask_others_about(instance_id peer) {
+    auto pending = std::make_shared<std::size_t>(0);
+    const auto reached = std::make_shared<bool>(false);
+    const auto self = shared_from_this();
+    std::vector<instance_id> helpers;
+    for (const auto id : membership::usable(view_)) {
+        if (id != peer && id != view_.self.id && helpers.size() < max_probes) {
+            helpers.push_back(id);
+        }
+    }
+    if (helpers.empty()) {
+        membership::on_no_answer(view_, peer, now());
+        return;
+    }
+    *pending = helpers.size();
+    for (const auto helper : helpers) {
+        node_.probe(helper, peer, [self, peer, pending, reached](bool reachable) {
+            asio::post(self->strand_, [self, peer, pending, reached, reachable] {
+                *reached = *reached || reachable;
+                if (--*pending == 0 && !*reached) {
+                    membership::on_no_answer(self->view_, peer, now());
+                }
+            });
+        });
+    }
+}
+
+void membership_service::take(instance_id from, const wire::gossip_message& message) {
+    membership::take(view_, message.self, now());
+    for (const auto& statement : message.members) {
+        membership::take(view_, statement, now());
+    }
+    uses_.on_news(from, message);
+    report_if_changed();
+}
+
+void membership_service::on_gossip(instance_id from, wire::gossip_message message,
+                                   std::function<void(wire::gossip_message)> reply) {
+    const auto self = shared_from_this();
+    asio::post(strand_, [self, from, message = std::move(message), reply = std::move(reply)] {
+        self->take(from, message);
+        self->uses_.own_news(
+            [self, reply](std::vector<routing::model_digest> digest, revision newest) {
+                asio::post(self->strand_, [self, reply, digest = std::move(digest), newest] {
+                    reply(wire::gossip_message{.self = self->view_.self,
+                                               .members = membership::updates_to_send(self->view_),
+                                               .digest = digest,
+                                               .newest = newest});
+                });
+            });
+    });
+}
+
+void membership_service::leave() {
+    asio::post(strand_, [self = shared_from_this()] {
+        membership::announce_leaving(self->view_);
+        self->report_if_changed();
+        for (const auto& [id, state] : self->view_.others) {
+            self->exchange_with(id);
+        }
+    });
+}
+
+void membership_service::with_view(std::function<void(const membership::view&)> use) {
+    asio::post(strand_, [self = shared_from_this(), use = std::move(use)] { use(self->view_); });
+}
+
+void membership_service::report_if_changed() {
+    auto present = membership::usable(view_);
+    if (present == reported_) {
+        return;
+    }
+    reported_ = present;
+    uses_.on_change(std::move(present));
+}
+
+} // namespace tarragonspar::runtime
--- /dev/null
+++ b/src/runtime/operator_front.cpp
@@ -0,0 +1,135 @@
+#include "tarragonspar/runtime/operator_front.hpp"
+
+#include <openssl/crypto.h>
+
+#include <nlohmann/json.hpp>
+
+#include "tarragonspar/http/completion_api.hpp"
+
+namespace tarragonspar::runtime {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::string_view admin_prefix = "/admin/";
+constexpr std::string_view bearer = "Bearer ";
+
+/// Compares in a time that does not depend on where the texts differ.
+bool is_same_secret(const std::string& a, const std::string& b) {
+    return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+unsigned status_of(config::verdict result) {
+    switch (result) {
+    case config::verdict::accepted:
+        return 200;
+    case config::verdict::conflict:
+        return 409;
+    case config::verdict::invalid:
+        break;
+    }
+    return 422;
+}
+
+} // namespace
+
+operator_front::operator_front(config_service& configuration, std::vector<std::string> tokens,
+                               hooks uses)
+    : configuration_(configuration), tokens_(std::move(tokens)), uses_(std::move(uses)) {}
+
+bool operator_front::is_allowed(const http::exchange& with) const {
+    if (tokens_.empty()) {
+        return true;
+    }
+    const auto header = with.header("Authorization");
+    if (!header.starts_with(bearer)) {
+        return false;
+    }
+    const auto given = header.substr(bearer.size());
+    bool found = false;
+    for (const auto& token : tokens_) {
+        found = is_same_secret(token, given) || found;
+    }
+    return found;
+}
+
+asio::awaitable<bool> operator_front::handle(http::exchange& with) {
+    const auto view = with.request().target();
+    const std::string target(view.data(), view.size());
+    if (!target.starts_with(admin_prefix)) {
+        co_return false;
+    }
+    if (!is_allowed(with)) {
+        co_await with.respond(http::format_error(401, "an operator's token is needed"));
+        co_return true;
+    }
+    const auto is_post = with.request().method() == http::beast_http::verb::post;
+    if (target == "/admin/changes" && is_post) {
+        co_await take_change(with);
+    } else if (target == "/admin/test/cut" && is_post && uses_.cut_off) {
+        co_await take_cut(with);
+    } else {
+        co_await show(with, target);
+    }
+    co_return true;
+}
+
+asio::awaitable<void> operator_front::take_change(http::exchange& with) {
+    config::change change;
+    std::string fault;
+    try {
+        change = json::parse(with.request().body()).get<config::change>();
+        if (change.id.empty()) {
+            fault = "a change needs an id";
+        }
+    } catch (const std::exception& error) {
+        fault = error.what();
+    }
+    if (!fault.empty()) {
+        co_await with.respond(http::format_error(400, fault));
+        co_return;
+    }
+    const auto answer = co_await configuration_.propose(std::move(change));
+    http::reply out;
+    if (answer) {
+        out.status = status_of(answer->result);
+        out.body = json(*answer).dump();
+    } else {
+        out = http::format_error(
+            503, "it is not known whether the change was accepted; send it again under its id");
+    }
+    co_await with.respond(std::move(out));
+}
+
+asio::awaitable<void> operator_front::show(http::exchange& with, const std::string& target) {
+    const auto state = configuration_.current();
+    http::reply out;
+    if (target == "/admin/config") {
+        out.body = json(state->current).dump();
+    } else if (target == "/admin/history") {
+        out.body = json(state->history).dump();
+    } else if (target == "/admin/status") {
+        out.body = co_await uses_.status();
+    } else {
+        out = http::format_error(404, "no such path");
+    }
+    co_await with.respond(std::move(out));
+}
+
+asio::awaitable<void> operator_front::take_cut(http::exchange& with) {
+    const auto body = json::parse(with.request().body(), nullptr, false);
+    std::set<instance_id> peers;
+    if (body.is_object()) {
+        for (const auto& id : body.value("peers", std::vector<std::uint32_t>{})) {
+            peers.insert({id});
+        }
+    }
+    uses_.cut_off(std::move(peers));
+    http::reply out;
+    out.body = "{}";
+    co_await with.respond(std::move(out));
+}
+
+} // namespace tarragonspar::runtime
--- /dev/null
+++ b/src/runtime/request_record.cpp
@@ -0,0 +1,117 @@
+#include "tarragonspar/runtime/request_record.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "tarragonspar/runtime/clock.hpp"
+
+namespace tarragonspar::runtime {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+
+void notify(request_record::signal& channel) {
+    channel.try_send(boost::system::error_code{});
+}
+
+} // namespace
+
+request_record::request_record(const asio::any_io_executor& executor, work_item work_in,
+                               dispatch::call_body call_in, std::size_t max_bytes)
+    : work(std::move(work_in)), call(std::move(call_in)), log_(max_bytes), readable_(executor, 1),
+      writable_(executor, 1) {}
+
+void request_record::append_now(dispatch::answer_event event) {
+    if (std::holds_alternative<dispatch::answer_piece>(event) && first_token_at == 0) {
+        first_token_at = now().time_since_epoch().count();
+    }
+    {
+        const std::lock_guard lock(mutex_);
+        log_.append(std::move(event));
+    }
+    notify(readable_);
+}
+
+asio::awaitable<bool> request_record::append(dispatch::answer_event event) {
+    while (true) {
+        {
+            const std::lock_guard lock(mutex_);
+            const auto is_last = std::holds_alternative<dispatch::answer_finished>(event);
+            const auto unread_is_kept = !attached_ && !work.idempotent;
+            if (!log_.is_full() || is_last || abandoned_ || unread_is_kept) {
+                break;
+            }
+        }
+        co_await writable_.async_receive(as_result);
+    }
+    append_now(std::move(event));
+    co_return !abandoned_;
+}
+
+asio::awaitable<std::optional<dispatch::answer_event>> request_record::read(std::uint64_t reader,
+                                                                            std::uint64_t position) {
+    while (true) {
+        std::optional<dispatch::answer_event> event;
+        bool missing = false;
+        {
+            const std::lock_guard lock(mutex_);
+            log_.consume(position);
+            if (const auto* found = log_.at(position)) {
+                event = *found;
+            } else {
+                missing = log_.finished() != nullptr;
+            }
+        }
+        notify(writable_);
+        if (reader != reader_) {
+            notify(readable_);
+            co_return std::nullopt;
+        }
+        if (event || missing) {
+            co_return event;
+        }
+        co_await readable_.async_receive(as_result);
+    }
+}
+
+std::uint64_t request_record::attach() {
+    attached_ = true;
+    const auto number = ++reader_;
+    notify(readable_);
+    return number;
+}
+
+bool request_record::detach(std::uint64_t reader) {
+    if (reader != reader_) {
+        return false;
+    }
+    attached_ = false;
+    return true;
+}
+
+std::optional<std::uint64_t> request_record::position_of(std::uint64_t token_offset) {
+    const std::lock_guard lock(mutex_);
+    return log_.position_of(token_offset);
+}
+
+std::optional<dispatch::answer_finished> request_record::finished() {
+    const std::lock_guard lock(mutex_);
+    const auto* last = log_.finished();
+    return last == nullptr ? std::nullopt : std::optional{*last};
+}
+
+std::uint64_t request_record::next_offset() {
+    const std::lock_guard lock(mutex_);
+    return log_.next_offset();
+}
+
+void request_record::abandon() {
+    abandoned_ = true;
+    notify(writable_);
+    notify(readable_);
+}
+
+} // namespace tarragonspar::runtime
--- a/src/settings/instance_settings.cpp
+++ b/src/settings/instance_settings.cpp
@@ -1,6 +1,7 @@
 #include "tarragonspar/settings/instance_settings.hpp"
 
 #include <charconv>
+#include <filesystem>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -122,6 +123,7 @@
     in.optional("test_hooks", out.test_hooks, "true or false");
     in.each("peers", [&](map_reader& item) { read_peer(item, out); });
     in.child("log", [&](map_reader& item) { read_log(item, out.log); });
+    in.optional("configuration_file", out.configuration_file, "a file");
     in.child("configuration",
              [&](map_reader& item) { detail::read_configuration(item, out.configuration); });
 }
@@ -134,6 +136,27 @@
     return text.str();
 }
 
+/// Reads the configuration from the file that the settings name.
+void add_configuration_file(const std::string& settings_file, read_result& result) {
+    const auto folder = std::filesystem::path(settings_file).parent_path();
+    const auto named = (folder / result.value.configuration_file).string();
+    bool readable = false;
+    const auto text = read_file(named, readable);
+    if (!readable) {
+        result.faults.push_back({.path = "configuration_file", .expected = "a readable file"});
+        return;
+    }
+    auto parsed = read_configuration(text);
+    for (auto& item : parsed.faults) {
+        item.path = named + ": " + item.path;
+        result.faults.push_back(item);
+    }
+    for (const auto& sentence : config::find_faults(parsed.value)) {
+        result.faults.push_back({.path = named, .expected = "no fault: " + sentence});
+    }
+    result.value.configuration = std::move(parsed.value);
+}
+
 } // namespace
 
 std::optional<endpoint> parse_endpoint(std::string_view text) {
@@ -181,7 +204,11 @@
     if (!readable) {
         return {.value = {}, .faults = {{.expected = "a readable file"}}};
     }
-    return read_instance_settings(text);
+    auto result = read_instance_settings(text);
+    if (result.faults.empty() && !result.value.configuration_file.empty()) {
+        add_configuration_file(file, result);
+    }
+    return result;
 }
 
 configuration_result read_configuration(const std::string& text) {
--- /dev/null
+++ b/src/telemetry/metrics.cpp
@@ -0,0 +1,124 @@
+#include "tarragonspar/telemetry/metrics.hpp"
+
+#include <prometheus/text_serializer.h>
+
+namespace tarragonspar::telemetry {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries wait_buckets{
+    0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.1, 2, 5, 10, 30, 60};
+const prometheus::Histogram::BucketBoundaries interval_buckets{0.005, 0.01, 0.015, 0.02, 0.025,
+                                                               0.033, 0.05, 0.1,   0.2,  0.5};
+
+prometheus::Labels labels_of(tier urgency, const std::string& kind) {
+    return {{"tier", std::to_string(urgency.value)}, {"kind", kind}};
+}
+
+auto* histogram_family(prometheus::Registry& registry, const std::string& name,
+                       const std::string& help) {
+    return &prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
+
+auto* counter_family(prometheus::Registry& registry, const std::string& name,
+                     const std::string& help) {
+    return &prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+auto* gauge(prometheus::Registry& registry, const std::string& name, const std::string& help) {
+    return &prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+} // namespace
+
+metrics::metrics(std::size_t max_workspaces)
+    : registry_(std::make_shared<prometheus::Registry>()),
+      queue_wait_(histogram_family(*registry_, "tarragonspar_queue_wait_seconds",
+                                   "Time from arrival to dispatch")),
+      first_token_(histogram_family(*registry_, "tarragonspar_first_token_seconds",
+                                    "Time from arrival to the first token")),
+      token_interval_(histogram_family(*registry_, "tarragonspar_token_interval_seconds",
+                                       "Mean time between tokens of an answer")),
+      total_(histogram_family(*registry_, "tarragonspar_request_seconds",
+                              "Time from arrival to the end of the answer")),
+      workspace_total_(histogram_family(*registry_, "tarragonspar_workspace_request_seconds",
+                                        "Time to the end of the answer by workspace")),
+      outcomes_(counter_family(*registry_, "tarragonspar_requests_total", "Requests by outcome")),
+      in_time_(counter_family(*registry_, "tarragonspar_in_time_total",
+                              "Requests answered before their deadline")),
+      dispatches_(counter_family(*registry_, "tarragonspar_dispatches_total",
+                                 "Requests written to a backend server")),
+      handovers_(&counter_family(*registry_, "tarragonspar_handovers_total",
+                                 "Queued requests handed to another instance")
+                      ->Add({})),
+      wasted_prefill_(&counter_family(*registry_, "tarragonspar_wasted_prefill_tokens_total",
+                                      "Prompt tokens computed and then discarded")
+                           ->Add({})),
+      queued_(gauge(*registry_, "tarragonspar_queued_requests", "Requests waiting here")),
+      revision_(gauge(*registry_, "tarragonspar_configuration_revision",
+                      "Revision of the configuration in force")),
+      max_workspaces_(max_workspaces) {}
+
+std::string metrics::shown_workspace(const std::string& workspace) {
+    const std::lock_guard lock(mutex_);
+    if (named_.contains(workspace)) {
+        return workspace;
+    }
+    if (named_.size() >= max_workspaces_) {
+        return "other";
+    }
+    named_.emplace(workspace, true);
+    return workspace;
+}
+
+void metrics::record(const request_summary& what) {
+    const auto labels = labels_of(what.urgency, what.kind);
+    outcomes_
+        ->Add({{"tier", std::to_string(what.urgency.value)},
+               {"outcome", std::string(to_string(what.result))},
+               {"reason", std::string(to_string(what.why))}})
+        .Increment();
+    if (what.wasted_prefill > 0) {
+        wasted_prefill_->Increment(what.wasted_prefill);
+    }
+    if (what.result != outcome::answered) {
+        return;
+    }
+    if (what.in_time) {
+        in_time_->Add(labels).Increment();
+    }
+    queue_wait_->Add(labels, wait_buckets).Observe(to_seconds(what.queue_wait));
+    total_->Add(labels, wait_buckets).Observe(to_seconds(what.total));
+    if (what.first_token.count() > 0) {
+        first_token_->Add(labels, wait_buckets).Observe(to_seconds(what.first_token));
+    }
+    workspace_total_->Add({{"workspace", shown_workspace(what.workspace)}}, wait_buckets)
+        .Observe(to_seconds(what.total));
+}
+
+void metrics::count_dispatch(tier urgency) {
+    dispatches_->Add({{"tier", std::to_string(urgency.value)}}).Increment();
+}
+
+void metrics::count_handover() {
+    handovers_->Increment();
+}
+
+void metrics::record_token_interval(tier urgency, duration interval) {
+    token_interval_->Add({{"tier", std::to_string(urgency.value)}}, interval_buckets)
+        .Observe(to_seconds(interval));
+}
+
+void metrics::set_queued(std::size_t count) {
+    queued_->Set(static_cast<double>(count));
+}
+
+void metrics::set_revision(std::uint64_t value) {
+    revision_->Set(static_cast<double>(value));
+}
+
+std::string metrics::expose() const {
+    return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+} // namespace tarragonspar::telemetry
--- /dev/null
+++ b/src/wire/instance_server.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "loop.hpp"
+
+namespace tarragonspar::wire {
+
+/// Reads how an owner's part ended.
+[[nodiscard]] end_variant read_end(schema::OwnerEnd::Reader in);
+
+/// Writes how an owner's part ended.
+void write_end(schema::OwnerEnd::Builder out, const end_variant& value);
+
+/// @brief Serves the calls of other instances.
+class instance_server final : public schema::Instance::Server {
+  public:
+    explicit instance_server(node::loop& home) : home_(home) {}
+
+  protected:
+    kj::Promise<void> enqueue(EnqueueContext context) override;
+    kj::Promise<void> withdraw(WithdrawContext context) override;
+    kj::Promise<void> gossip(GossipContext context) override;
+    kj::Promise<void> probe(ProbeContext context) override;
+    kj::Promise<void> consensus(ConsensusContext context) override;
+    kj::Promise<void> ask(AskContext context) override;
+
+  private:
+    node::loop& home_;
+};
+
+} // namespace tarragonspar::wire
--- /dev/null
+++ b/src/wire/loop.cpp
@@ -0,0 +1,540 @@
+#include "loop.hpp"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <sstream>
+
+#include <glog/logging.h>
+#include <kj/io.h>
+
+#include "instance_server.hpp"
+#include "right_holder_server.hpp"
+#include "tarragonspar/runtime/clock.hpp"
+
+namespace tarragonspar::wire {
+
+namespace {
+
+/// Pause between two looks for peers that went silent.
+constexpr auto silence_check_interval = 250 * kj::MILLISECONDS;
+
+/// Name that every instance's certificate must carry.
+constexpr const char* certificate_name = "tarragonspar";
+
+kj::Duration to_kj(std::chrono::milliseconds value) {
+    return value.count() * kj::MILLISECONDS;
+}
+
+std::string describe(const kj::Exception& exception) {
+    const auto text = exception.getDescription();
+    return {text.begin(), text.size()};
+}
+
+std::string read_file(const std::string& name) {
+    std::ifstream in(name);
+    if (!in) {
+        throw std::runtime_error("can't read " + name);
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+kj::Own<kj::TlsContext> make_tls(const settings::tls_files& files) {
+    kj::TlsContext::Options options;
+    const kj::TlsKeypair pair{kj::TlsPrivateKey(read_file(files.private_key)),
+                              kj::TlsCertificate(read_file(files.certificate))};
+    const kj::TlsCertificate authority(read_file(files.authorities));
+    options.useSystemTrustStore = false;
+    options.verifyClients = true;
+    options.defaultKeypair = pair;
+    options.trustedCertificates = kj::arrayPtr(&authority, 1);
+    return kj::heap<kj::TlsContext>(kj::mv(options));
+}
+
+} // namespace
+
+node::loop::loop(node_options options, handler& handles)
+    : options_(std::move(options)), handles_(handles) {
+    for (const auto& [id, address] : options_.peers) {
+        links_[id].address = address;
+    }
+}
+
+node::loop::~loop() {
+    stop();
+}
+
+std::string node::loop::start() {
+    std::promise<std::string> started;
+    auto result = started.get_future();
+    thread_ = std::thread([this, &started] { run(started); });
+    return result.get();
+}
+
+void node::loop::stop() {
+    if (!thread_.joinable()) {
+        return;
+    }
+    post([this] { stop_->fulfill(); });
+    thread_.join();
+}
+
+void node::loop::post(std::function<void()> work) {
+    const std::lock_guard lock(mutex_);
+    if (!accepting_posts_) {
+        return;
+    }
+    const auto first = posted_.empty();
+    posted_.push_back(std::move(work));
+    if (first) {
+        wake();
+    }
+}
+
+void node::loop::wake() {
+    const char byte = 0;
+    // A full pipe wakes the loop as well.
+    [[maybe_unused]] const auto written = ::write(wake_fd_, &byte, 1);
+}
+
+void node::loop::run_posted() {
+    std::vector<std::function<void()>> ready;
+    {
+        const std::lock_guard lock(mutex_);
+        ready.swap(posted_);
+    }
+    for (const auto& work : ready) {
+        work();
+    }
+}
+
+kj::Promise<void> node::loop::read_wakeups(kj::AsyncInputStream& input) {
+    constexpr std::size_t size = 64;
+    auto bytes = kj::heapArray<kj::byte>(size);
+    auto* first = bytes.begin();
+    return input.tryRead(first, 1, size).attach(kj::mv(bytes)).then([this, &input](std::size_t) {
+        run_posted();
+        return read_wakeups(input);
+    });
+}
+
+kj::Own<kj::NetworkAddress> node::loop::resolve(const settings::endpoint& at) {
+    const auto text = at.address.find(':') == std::string::npos
+                          ? settings::to_string(at)
+                          : "[" + at.address + "]:" + std::to_string(at.port);
+    return io_->provider->getNetwork().parseAddress(text).wait(io_->waitScope);
+}
+
+void node::loop::run(std::promise<std::string>& started) {
+    bool reported = false;
+    try {
+        auto io = kj::setupAsyncIo();
+        io_ = &io;
+        reported = true;
+        serve(io, started);
+    } catch (const kj::Exception& error) {
+        if (!reported) {
+            started.set_value(describe(error));
+        }
+        LOG(ERROR) << "the protocol between instances stopped: " << describe(error);
+    }
+}
+
+void node::loop::serve(kj::AsyncIoContext& io, std::promise<std::string>& started) {
+    int pipe_fds[2]{};
+    kj::Own<kj::ConnectionReceiver> listener;
+    try {
+        if (!options_.tls.certificate.empty()) {
+            tls_ = make_tls(options_.tls);
+        }
+        listener = resolve(options_.listen)->listen();
+        if (tls_) {
+            listener = tls_->wrapPort(kj::mv(listener));
+        }
+        KJ_SYSCALL(::pipe2(pipe_fds, O_NONBLOCK | O_CLOEXEC));
+    } catch (const kj::Exception& error) {
+        started.set_value(describe(error));
+        return;
+    } catch (const std::runtime_error& error) {
+        started.set_value(error.what());
+        return;
+    }
+    wake_fd_ = pipe_fds[1];
+    const kj::AutoCloseFd write_end(pipe_fds[1]);
+    auto wakeups = io.lowLevelProvider->wrapInputFd(
+        pipe_fds[0], kj::LowLevelAsyncIoProvider::TAKE_OWNERSHIP |
+                         kj::LowLevelAsyncIoProvider::ALREADY_CLOEXEC |
+                         kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK);
+    tasks_ = kj::heap<kj::TaskSet>(static_cast<kj::TaskSet::ErrorHandler&>(*this));
+    auto stopping = kj::newPromiseAndFulfiller<void>();
+    stop_ = kj::mv(stopping.fulfiller);
+    capnp::TwoPartyServer server(kj::heap<instance_server>(*this));
+    run_task(server.listen(*listener));
+    run_task(read_wakeups(*wakeups));
+    run_task(watch_silence());
+    {
+        const std::lock_guard lock(mutex_);
+        accepting_posts_ = true;
+    }
+    started.set_value({});
+    stopping.promise.wait(io.waitScope);
+    {
+        const std::lock_guard lock(mutex_);
+        accepting_posts_ = false;
+        posted_.clear();
+    }
+    inbound_.clear();
+    tasks_ = nullptr;
+    links_.clear();
+}
+
+void node::loop::run_task(kj::Promise<void>&& task) {
+    tasks_->add(kj::mv(task));
+}
+
+void node::loop::taskFailed(kj::Exception&& exception) {
+    if (exception.getType() != kj::Exception::Type::DISCONNECTED) {
+        VLOG(1) << "a task of the protocol between instances failed: " << describe(exception);
+    }
+}
+
+kj::Promise<void> node::loop::bounded(kj::Promise<void>&& call) {
+    return io_->provider->getTimer().timeoutAfter(to_kj(options_.call_timeout), kj::mv(call));
+}
+
+// --- connections ---
+
+kj::Promise<void> node::loop::open_connection(instance_id peer, peer_link& link) {
+    const auto text = settings::to_string(link.address);
+    auto& network = io_->provider->getNetwork();
+    auto opening = network.parseAddress(text)
+                       .then([](kj::Own<kj::NetworkAddress>&& address) {
+                           auto promise = address->connect();
+                           return promise.attach(kj::mv(address));
+                       })
+                       .then([this](kj::Own<kj::AsyncIoStream>&& stream)
+                                 -> kj::Promise<kj::Own<kj::AsyncIoStream>> {
+                           if (tls_) {
+                               return tls_->wrapClient(kj::mv(stream), certificate_name);
+                           }
+                           return kj::mv(stream);
+                       })
+                       .then([&link](kj::Own<kj::AsyncIoStream>&& stream) {
+                           link.connection = kj::refcounted<outbound_connection>(kj::mv(stream));
+                       });
+    return io_->provider->getTimer()
+        .timeoutAfter(to_kj(options_.connect_timeout), kj::mv(opening))
+        .then([&link]() { link.connecting = nullptr; },
+              [&link, peer](kj::Exception&& error) {
+                  VLOG(1) << "no connection to instance " << peer.value << ": " << describe(error);
+                  link.connecting = nullptr;
+                  kj::throwRecoverableException(kj::mv(error));
+              });
+}
+
+kj::Promise<kj::Own<outbound_connection>> node::loop::connect(instance_id peer) {
+    const auto found = links_.find(peer);
+    if (found == links_.end() || cut_.contains(peer)) {
+        return KJ_EXCEPTION(DISCONNECTED, "the peer is not reachable");
+    }
+    auto& link = found->second;
+    KJ_IF_MAYBE (open, link.connection) {
+        return kj::addRef(**open);
+    }
+    if (link.connecting == nullptr) {
+        // The fork is stored before it can finish, since promises never finish at once.
+        link.connecting = open_connection(peer, link).fork();
+    }
+    return KJ_ASSERT_NONNULL(link.connecting).addBranch().then([&link]() {
+        KJ_IF_MAYBE (open, link.connection) {
+            return kj::addRef(**open);
+        }
+        kj::throwFatalException(KJ_EXCEPTION(DISCONNECTED, "the connection was closed"));
+    });
+}
+
+void node::loop::drop(instance_id peer, const outbound_connection& broken) {
+    auto& link = links_.at(peer);
+    KJ_IF_MAYBE (open, link.connection) {
+        if (open->get() == &broken) {
+            // Closing now would destroy promises that are running.
+            (*open)->stream->abortRead();
+            (*open)->stream->shutdownWrite();
+            run_task(kj::evalLater([old = kj::mv(*open)]() mutable { old = nullptr; }));
+            link.connection = nullptr;
+        }
+    }
+}
+
+void node::loop::keep_alive(instance_id peer) {
+    auto& link = links_.at(peer);
+    KJ_IF_MAYBE (open, link.connection) {
+        if ((*open)->long_calls == 0) {
+            link.heartbeat_running = false;
+            return;
+        }
+        link.heartbeat_running = true;
+        auto connection = kj::addRef(**open);
+        auto request = connection->instance.probeRequest();
+        request.setFrom(options_.self.value);
+        request.setTarget(peer.value);
+        auto* raw = connection.get();
+        auto beat = bounded(request.send().ignoreResult())
+                        .then([this]() {
+                            return io_->provider->getTimer().afterDelay(to_kj(options_.heartbeat));
+                        })
+                        .then([this, peer]() { keep_alive(peer); },
+                              [this, peer, raw](kj::Exception&&) {
+                                  links_.at(peer).heartbeat_running = false;
+                                  drop(peer, *raw);
+                              })
+                        .attach(kj::mv(connection));
+        run_task(kj::mv(beat));
+    } else {
+        link.heartbeat_running = false;
+    }
+}
+
+kj::Promise<void> node::loop::watch_silence() {
+    return io_->provider->getTimer().afterDelay(silence_check_interval).then([this]() {
+        const auto now = io_->provider->getTimer().now();
+        for (auto& [key, request] : inbound_) {
+            const auto last = heard_.find(request.from);
+            if (last != heard_.end() && now - last->second > to_kj(options_.silence_timeout)) {
+                request.lost = true;
+            }
+        }
+        return watch_silence();
+    });
+}
+
+void node::loop::note_heard(instance_id from) {
+    if (cut_.contains(from)) {
+        kj::throwFatalException(KJ_EXCEPTION(DISCONNECTED, "cut off"));
+    }
+    heard_.insert_or_assign(from, io_->provider->getTimer().now());
+}
+
+void node::loop::cut_off(std::set<instance_id> peers) {
+    cut_ = std::move(peers);
+    for (const auto peer : cut_) {
+        const auto found = links_.find(peer);
+        if (found == links_.end()) {
+            continue;
+        }
+        KJ_IF_MAYBE (open, found->second.connection) {
+            drop(peer, **open);
+        }
+    }
+    for (auto& [key, request] : inbound_) {
+        request.lost = request.lost || cut_.contains(request.from);
+    }
+}
+
+// --- calls to peers ---
+
+void node::loop::enqueue(instance_id peer, const work_item& work, const dispatch::call_body& call,
+                         std::shared_ptr<right_holder> holder,
+                         std::function<void(remote_end)> done) {
+    auto task =
+        connect(peer)
+            .then([this, peer, work, call, holder](kj::Own<outbound_connection>&& connection) {
+                auto request = connection->instance.enqueueRequest();
+                request.setFrom(options_.self.value);
+                write(request.initWork(), work, runtime::now());
+                write(request.initCall(), call);
+                request.setHolder(kj::heap<right_holder_server>(shared_from_this(), holder));
+                ++connection->long_calls;
+                if (!links_.at(peer).heartbeat_running) {
+                    keep_alive(peer);
+                }
+                auto* raw = connection.get();
+                return request.send()
+                    .then([](capnp::Response<schema::Instance::EnqueueResults>&& response) {
+                        return read_end(response.getEnd());
+                    })
+                    .attach(kj::defer([raw] { --raw->long_calls; }))
+                    .attach(kj::mv(connection));
+            })
+            .then([done](end_variant&& end) { done(remote_end{std::move(end)}); },
+                  [done](kj::Exception&& error) {
+                      VLOG(1) << "a forwarded request was lost: " << describe(error);
+                      done(std::nullopt);
+                  });
+    run_task(kj::mv(task));
+}
+
+void node::loop::withdraw(instance_id peer, const request_id& id) {
+    run_task(connect(peer).then([this, id](kj::Own<outbound_connection>&& connection) {
+        auto request = connection->instance.withdrawRequest();
+        request.setFrom(options_.self.value);
+        write(request.initId(), id);
+        return bounded(request.send().ignoreResult()).attach(kj::mv(connection));
+    }));
+}
+
+void node::loop::gossip(instance_id peer, const gossip_message& message,
+                        std::function<void(std::optional<gossip_message>)> done) {
+    auto task =
+        connect(peer)
+            .then([this, peer, message, done](kj::Own<outbound_connection>&& connection) {
+                auto request = connection->instance.gossipRequest();
+                request.setFrom(options_.self.value);
+                write(request.initMessage(), message);
+                auto* raw = connection.get();
+                auto call = request.send().then(
+                    [done](capnp::Response<schema::Instance::GossipResults>&& response) {
+                        done(read(response.getReply()));
+                    });
+                return bounded(kj::mv(call))
+                    .catch_([this, peer, raw](kj::Exception&& error) {
+                        drop(peer, *raw);
+                        kj::throwRecoverableException(kj::mv(error));
+                    })
+                    .attach(kj::mv(connection));
+            })
+            .catch_([done](kj::Exception&&) { done(std::nullopt); });
+    run_task(kj::mv(task));
+}
+
+void node::loop::probe(instance_id peer, instance_id target, std::function<void(bool)> done) {
+    auto task =
+        connect(peer)
+            .then([this, target, done](kj::Own<outbound_connection>&& connection) {
+                auto request = connection->instance.probeRequest();
+                request.setFrom(options_.self.value);
+                request.setTarget(target.value);
+                auto call = request.send().then(
+                    [done](capnp::Response<schema::Instance::ProbeResults>&& response) {
+                        done(response.getReachable());
+                    });
+                return bounded(kj::mv(call)).attach(kj::mv(connection));
+            })
+            .catch_([done](kj::Exception&&) { done(false); });
+    run_task(kj::mv(task));
+}
+
+void node::loop::send_consensus(instance_id peer, const std::string& messages) {
+    run_task(connect(peer).then([this, messages](kj::Own<outbound_connection>&& connection) {
+        auto request = connection->instance.consensusRequest();
+        request.setFrom(options_.self.value);
+        request.setMessages({reinterpret_cast<const capnp::byte*>(messages.data()),
+                             messages.size()});
+        return bounded(request.send().ignoreResult()).attach(kj::mv(connection));
+    }));
+}
+
+void node::loop::ask(instance_id peer, topic about, const std::string& payload,
+                     std::function<void(std::optional<answer>)> done) {
+    auto task =
+        connect(peer)
+            .then([this, about, payload, done](kj::Own<outbound_connection>&& connection) {
+                auto request = connection->instance.askRequest();
+                request.setFrom(options_.self.value);
+                request.setTopic(static_cast<std::uint8_t>(about));
+                request.setPayload({reinterpret_cast<const capnp::byte*>(payload.data()),
+                                    payload.size()});
+                auto call = request.send().then(
+                    [done](capnp::Response<schema::Instance::AskResults>&& response) {
+                        const auto payload_in = response.getAnswer().getPayload();
+                        done(answer{.known = response.getAnswer().getKnown(),
+                                    .payload = {reinterpret_cast<const char*>(payload_in.begin()),
+                                                payload_in.size()}});
+                    });
+                return bounded(kj::mv(call)).attach(kj::mv(connection));
+            })
+            .catch_([done](kj::Exception&&) { done(std::nullopt); });
+    run_task(kj::mv(task));
+}
+
+// --- requests that peers enqueued here ---
+
+std::uint64_t node::loop::add_inbound(instance_id from, schema::RightHolder::Client holder,
+                                      kj::Own<kj::PromiseFulfiller<end_variant>> finished) {
+    const auto key = ++next_key_;
+    inbound_.emplace(key, inbound_request{.from = from,
+                                          .holder = kj::mv(holder),
+                                          .finished = kj::mv(finished)});
+    return key;
+}
+
+void node::loop::acquire(std::uint64_t key, server_id server,
+                         const std::vector<routing::model_digest>& digest,
+                         std::function<void(bool)> reply) {
+    const auto found = inbound_.find(key);
+    if (found == inbound_.end() || found->second.lost) {
+        reply(false);
+        return;
+    }
+    auto request = found->second.holder.acquireRequest();
+    request.setServer(server.value);
+    write_digest(request.initDigest(static_cast<unsigned>(digest.size())), digest);
+    const auto granted = std::make_shared<bool>(false);
+    auto call = request.send().then(
+        [granted](capnp::Response<schema::RightHolder::AcquireResults>&& response) {
+            *granted = response.getGranted();
+        });
+    run_task(bounded(kj::mv(call))
+                 .then([reply, granted]() { reply(*granted); },
+                       [this, key, reply](kj::Exception&&) {
+                           if (const auto lost = inbound_.find(key); lost != inbound_.end()) {
+                               lost->second.lost = true;
+                           }
+                           reply(false);
+                       }));
+}
+
+void node::loop::give_back(std::uint64_t key, server_id server, std::function<void()> reply) {
+    const auto found = inbound_.find(key);
+    if (found == inbound_.end() || found->second.lost) {
+        reply();
+        return;
+    }
+    auto request = found->second.holder.giveBackRequest();
+    request.setServer(server.value);
+    run_task(bounded(request.send().ignoreResult())
+                 .then([reply]() { reply(); }, [reply](kj::Exception&&) { reply(); }));
+}
+
+void node::loop::deliver(std::uint64_t key, const std::vector<dispatch::answer_event>& events,
+                         std::function<void(bool)> reply) {
+    const auto found = inbound_.find(key);
+    if (found == inbound_.end() || found->second.lost) {
+        // The holder resumes from the server by itself, so the stream must not be cancelled.
+        reply(true);
+        return;
+    }
+    auto request = found->second.holder.deliverRequest();
+    auto list = request.initEvents(static_cast<unsigned>(events.size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+        write(list[i], events[i]);
+    }
+    run_task(request.send().then(
+        [reply](capnp::Response<schema::RightHolder::DeliverResults>&& response) {
+            reply(response.getWanted());
+        },
+        [this, key, reply](kj::Exception&&) {
+            if (const auto lost = inbound_.find(key); lost != inbound_.end()) {
+                lost->second.lost = true;
+            }
+            reply(true);
+        }));
+}
+
+void node::loop::conclude(std::uint64_t key, const end_variant& end) {
+    const auto found = inbound_.find(key);
+    if (found == inbound_.end()) {
+        return;
+    }
+    if (found->second.lost) {
+        found->second.finished->reject(KJ_EXCEPTION(DISCONNECTED, "the holder was out of reach"));
+    } else {
+        found->second.finished->fulfill(end_variant(end));
+    }
+    inbound_.erase(found);
+}
+
+} // namespace tarragonspar::wire
