--- a/src/runtime/forwarding.cpp
+++ b/src/runtime/forwarding.cpp
@@ -87,28 +87,39 @@
     remote_link(std::shared_ptr<wire::remote_request> request, std::shared_ptr<owner> local)
         : request_(std::move(request)), local_(std::move(local)) {}
 
+    // Callbacks are named before they are passed on: GCC 12 destroys unnamed ones in an awaited
+    // expression twice.
+
     asio::awaitable<bool> acquire(server_id server) override {
-        auto digest = co_await await_reply<std::vector<routing::model_digest>>(
-            [local = local_](auto reply) { local->with_digest(std::move(reply)); });
-        co_return co_await await_reply<bool>(
+        using digests = std::vector<routing::model_digest>;
+        std::function<void(std::function<void(digests)>)> ask_digest =
+            [local = local_](auto reply) { local->with_digest(std::move(reply)); };
+        auto digest = co_await await_reply<digests>(std::move(ask_digest));
+        std::function<void(std::function<void(bool)>)> ask_right =
             [request = request_, server, digest = std::move(digest)](auto reply) {
                 request->acquire(server, digest, std::move(reply));
-            });
+            };
+        const bool granted = co_await await_reply<bool>(std::move(ask_right));
+        co_return granted;
     }
 
     asio::awaitable<void> give_back(server_id server) override {
-        co_await await_reply<bool>([request = request_, server](auto reply) {
+        std::function<void(std::function<void(bool)>)> start = [request = request_,
+                                                                server](auto reply) {
             request->give_back(server, [reply] { reply(true); });
-        });
+        };
+        co_await await_reply<bool>(std::move(start));
     }
 
     asio::awaitable<bool> deliver(dispatch::answer_event event) override {
         std::vector<dispatch::answer_event> events;
         events.push_back(std::move(event));
-        co_return co_await await_reply<bool>(
-            [request = request_, events = std::move(events)](auto reply) mutable {
-                request->deliver(std::move(events), std::move(reply));
-            });
+        std::function<void(std::function<void(bool)>)> start =
+            [request = request_, events = std::move(events)](auto reply) {
+                request->deliver(events, std::move(reply));
+            };
+        const bool wanted = co_await await_reply<bool>(std::move(start));
+        co_return wanted;
     }
 
     void conclude(owner_end end) override {
@@ -130,10 +141,11 @@
     auto work = record->work;
     work.transfers = record->transfers;
     auto holder = std::make_shared<record_holder>(context_, record, at, digests_);
-    auto end = co_await await_reply<wire::remote_end>(
-        [this, at, work, &record, holder = std::move(holder)](auto reply) {
+    std::function<void(std::function<void(wire::remote_end)>)> start =
+        [this, at, work, record, holder = std::move(holder)](auto reply) {
             node_.enqueue(at, work, record->call, holder, std::move(reply));
-        });
+        };
+    auto end = co_await await_reply<wire::remote_end>(std::move(start));
     co_return to_owner_end(std::move(end), record->work.id);
 }
 
--- a/src/runtime/instance.cpp
+++ b/src/runtime/instance.cpp
@@ -38,6 +38,16 @@
     return options;
 }
 
+nlohmann::json list_members(const membership::view& view) {
+    constexpr std::string_view names[] = {"alive", "suspect", "leaving", "dead"};
+    auto list = nlohmann::json::array();
+    for (const auto& [id, state] : view.others) {
+        list.push_back(
+            {{"id", id.value}, {"status", names[static_cast<std::size_t>(state.what.status)]}});
+    }
+    return list;
+}
+
 duration since(const request_record& record, std::int64_t micros) {
     return micros == 0 ? duration{} : time_point{duration{micros}} - record.work.arrival;
 }
@@ -236,19 +246,14 @@
 }
 
 asio::awaitable<std::string> instance::describe_status() {
-    const auto queues = co_await await_reply<std::string>(
-        [this](auto reply) { owner_->with_status(std::move(reply)); });
-    auto members = co_await await_reply<nlohmann::json>([this](auto reply) {
-        members_->with_view([reply](const membership::view& view) {
-            constexpr std::string_view names[] = {"alive", "suspect", "leaving", "dead"};
-            auto list = nlohmann::json::array();
-            for (const auto& [id, state] : view.others) {
-                list.push_back({{"id", id.value},
-                                {"status", names[static_cast<std::size_t>(state.what.status)]}});
-            }
-            reply(std::move(list));
-        });
-    });
+    std::function<void(std::function<void(std::string)>)> ask_owner = [this](auto reply) {
+        owner_->with_status(std::move(reply));
+    };
+    const auto queues = co_await await_reply<std::string>(std::move(ask_owner));
+    std::function<void(std::function<void(nlohmann::json)>)> ask_members = [this](auto reply) {
+        members_->with_view([reply](const membership::view& view) { reply(list_members(view)); });
+    };
+    auto members = co_await await_reply<nlohmann::json>(std::move(ask_members));
     nlohmann::json out{{"instance", settings_.id.value},
                        {"failure_domain", settings_.failure_domain},
                        {"revision", configuration_->current()->current.number.value},
