Policy experiments; cheaper prefixes, feasibility before dispatch, no tier inversions

Cause: the first version held 34 % of the slots for the top tier, spilled requests away from their cached prefix after 150 ms, and shed middle tiers on stale news of what peers keep. Change: reserve of 10 %; a saved prefill counts eight times against a wait; requests whose prefix is being computed wait for it; nothing is dispatched that is predicted to miss its deadline; prediction sheds only the last tier.

--- a/include/tarragonspar/admission/tier_queue.hpp
+++ b/include/tarragonspar/admission/tier_queue.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <vector>
 
 #include "tarragonspar/types/work.hpp"
 
@@ -48,6 +49,13 @@
     /// @par Complexity  linear in the workspaces within the slack
     [[nodiscard]] const queued_item* peek(tier max_urgency = {tier_count - 1}) const;
 
+    /// @brief The items that would be served next, at most `limit` of them, in order.
+    ///
+    /// Inside a tier, only the workspaces that are eligible now are looked at.
+    /// @par Complexity  linear in the items passed over
+    [[nodiscard]] std::vector<const queued_item*> candidates(tier max_urgency,
+                                                             std::size_t limit) const;
+
     /// @brief Removes an item that is about to be dispatched and charges its workspace.
     std::optional<queued_item> take(const request_id& id);
 
@@ -105,6 +113,8 @@
     void charge(const queued_item& item);
     void forget_idle_lanes(tier_lanes& lanes);
     [[nodiscard]] const queued_item* peek_tier(const tier_lanes& lanes) const;
+    void collect(const tier_lanes& lanes, std::size_t limit,
+                 std::vector<const queued_item*>& out) const;
 
     queue_options options_;
     std::unordered_map<request_id, queued_item> items_;
--- a/include/tarragonspar/dispatch/scheduler.hpp
+++ b/include/tarragonspar/dispatch/scheduler.hpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "tarragonspar/admission/tier_queue.hpp"
@@ -15,7 +16,7 @@
     std::size_t max_queued{4096};            ///< requests waiting in one instance
     admission::queue_options queue;
     double reserve_decay_per_second{0.05};   ///< how fast the observed top-tier peak is forgotten
-    double max_reserve_share{0.34};          ///< part of the slots that low tiers can't fill
+    double max_reserve_share{0.1};          ///< part of the slots that low tiers can't fill
     double length_quantile{0.6};             ///< of the answer's length, for feasibility
     bool refuse_infeasible{true};            ///< refuse what can't finish in time before dispatch
     bool transfer_to_peers{true};
@@ -35,6 +36,7 @@
     time_point observed_at{};
     bool window_was_full{false};
     bool has_first_token{false};
+    bool holds_prefix{false}; ///< others with an equal prefix wait for this one's prefill
     int failed_dispatches{};
 };
 
@@ -49,6 +51,7 @@
 struct model_pool {
     admission::tier_queue queue;
     peak_demand top_tier;
+    double service_seconds{2.0}; ///< mean time that a request keeps a slot busy
 };
 
 /// @brief A peer's last digest, corrected by what was sent to it since.
@@ -70,6 +73,7 @@
     std::unordered_map<workspace_id, std::uint32_t> limits;
     std::map<instance_id, peer_state> peers;
     std::unordered_map<std::string, double> class_speed; ///< seconds per token by hardware class
+    std::unordered_set<block_hash> prefixes_underway; ///< computed now, and worth waiting for
     routing::length_estimator lengths;
     routing::retry_budget retries;
     bool draining{false};
--- a/include/tarragonspar/emulator/engine.hpp
+++ b/include/tarragonspar/emulator/engine.hpp
@@ -19,7 +19,7 @@
     double prefill_tokens_per_second{8000};
     double decode_base_seconds{0.012};       ///< of an iteration, whatever the batch
     double decode_seconds_per_stream{0.0008};
-    std::uint32_t prefill_chunk_tokens{512}; ///< prompt tokens computed in one iteration at most
+    std::uint32_t prefill_chunk_tokens{128}; ///< prompt tokens computed in one iteration at most
     std::size_t cache_blocks{2048};          ///< blocks of the prefix cache
     double slowness{1.0};                    ///< factor on the time of every iteration
 };
--- a/include/tarragonspar/routing/digest.hpp
+++ b/include/tarragonspar/routing/digest.hpp
@@ -17,6 +17,7 @@
     std::optional<tier> lowest_kept;    ///< least urgent tier that waits
     std::uint32_t queued{};             ///< requests waiting
     float prefill_tokens_per_second{};  ///< of its fastest server
+    float service_seconds{};            ///< mean time that a request keeps a slot busy
     friend bool operator==(const model_digest&, const model_digest&) = default;
 };
 
--- a/include/tarragonspar/wire/schema/instance.capnp.h
+++ b/include/tarragonspar/wire/schema/instance.capnp.h
@@ -217,7 +217,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c71173279107afa0, 4, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(c71173279107afa0, 5, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1536,6 +1536,8 @@
 
   inline float getPrefillRate() const;
 
+  inline float getServiceSeconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1585,6 +1587,9 @@
   inline float getPrefillRate();
   inline void setPrefillRate(float value);
 
+  inline float getServiceSeconds();
+  inline void setServiceSeconds(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4481,6 +4486,20 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline float ModelDigest::Reader::getServiceSeconds() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline float ModelDigest::Builder::getServiceSeconds() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void ModelDigest::Builder::setServiceSeconds(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Member::Reader::getId() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/schema/instance.capnp
+++ b/schema/instance.capnp
@@ -79,6 +79,7 @@
   # -1: nothing waits.
   queued @5 :UInt32;
   prefillRate @6 :Float32;
+  serviceSeconds @7 :Float32;
 }
 
 struct Member {
--- a/src/admission/tier_queue.cpp
+++ b/src/admission/tier_queue.cpp
@@ -116,6 +116,32 @@
     return nullptr;
 }
 
+void tier_queue::collect(const tier_lanes& lanes, std::size_t limit,
+                         std::vector<const queued_item*>& out) const {
+    if (lanes.backlogged.empty()) {
+        return;
+    }
+    const auto last = lanes.backlogged.begin()->first + options_.fairness_slack_seconds;
+    for (const auto& [deadline, id] : lanes.order) {
+        if (out.size() >= limit) {
+            return;
+        }
+        const auto& item = items_.at(id);
+        if (lanes.lanes.at(item.work.workspace).virtual_time <= last) {
+            out.push_back(&item);
+        }
+    }
+}
+
+std::vector<const queued_item*> tier_queue::candidates(tier max_urgency,
+                                                       std::size_t limit) const {
+    std::vector<const queued_item*> out;
+    for (std::uint8_t level = 0; level <= max_urgency.value; ++level) {
+        collect(tiers_.at(level), limit, out);
+    }
+    return out;
+}
+
 const queued_item* tier_queue::find(const request_id& id) const {
     const auto found = items_.find(id);
     return found == items_.end() ? nullptr : &found->second;
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -13,8 +13,17 @@
 constexpr double class_gain = 0.05;
 /// Decode samples needed before a server is compared with its class.
 constexpr std::uint32_t min_class_samples = 5;
+/// Weight of a new sample in the mean service time.
+constexpr double service_gain = 0.05;
 /// Tokens that make one decode sample.
 constexpr std::uint32_t decode_sample_tokens = 8;
+/// Waiting requests that are looked at for one free slot.
+constexpr std::size_t max_lookahead = 12;
+/// Prompt tokens to compute from which on an equal prefix is waited for.
+constexpr std::uint32_t min_awaited_prefill = 512;
+/// Blocks that tell one prefix from another at most.
+constexpr std::size_t root_blocks = 8;
+
 /// Dispatch attempts of one request that may fail before the first byte.
 constexpr int max_failed_dispatches = 3;
 
@@ -26,6 +35,22 @@
     target.peak = std::max<double>(target.peak, target.present);
 }
 
+/// The block that stands for a request's prefix, if its prompt is long enough to have one.
+std::optional<block_hash> prefix_root(const work_item& work) {
+    if (work.blocks.size() < root_blocks) {
+        return std::nullopt;
+    }
+    return work.blocks[root_blocks - 1];
+}
+
+void forget_underway(scheduler& target, const running_item& item) {
+    if (!item.holds_prefix) {
+        return;
+    }
+    const auto root = prefix_root(item.work);
+    target.prefixes_underway.erase(*root);
+}
+
 bool is_top(const work_item& work) {
     return work.urgency == tier{0};
 }
@@ -112,13 +137,33 @@
                                   source.options.length_quantile);
 }
 
-/// The server with room that would finish a request first.
+/// Whether an equal prefix is being computed at this moment, so that waiting for it is cheaper
+/// than computing it a second time.
+bool prefix_is_underway(const scheduler& source, const work_item& work) {
+    const auto root = prefix_root(work);
+    return root && source.prefixes_underway.contains(*root);
+}
+
+/// The server with room that would finish a request first; null too when a full one with more of
+/// the prompt in its cache would still finish sooner.
 routing::server_model* best_server(scheduler& target, const work_item& work, time_point now,
                                    routing::prediction& best) {
     const auto output = predicted_output(target, work);
+    const auto left = work.deadline - now;
+    const auto service = target.pools.at(work.model).service_seconds;
     routing::server_model* chosen = nullptr;
+    std::optional<duration> best_after_wait;
     for (auto& [id, server] : target.servers) {
-        if (!routing::offers(server, work.model) || !routing::has_room(server, now)) {
+        if (!routing::offers(server, work.model)) {
+            continue;
+        }
+        if (!routing::has_room(server, now)) {
+            if (server.cache.match(work.blocks) > 0 && routing::allows(server.breaker, now) &&
+                server.state == config::server_state::active) {
+                const auto wait = from_seconds(service / routing::usable_window(server));
+                const auto finish = wait + routing::predict(server, work, output).finish;
+                best_after_wait = std::min(best_after_wait.value_or(finish), finish);
+            }
             continue;
         }
         if (!work.idempotent && routing::is_on_trial(server.breaker) && target.servers.size() > 1) {
@@ -130,7 +175,11 @@
             best = predicted;
         }
     }
-    return chosen;
+    if (chosen == nullptr || (best_after_wait && *best_after_wait < best.finish)) {
+        return nullptr;
+    }
+    const auto too_late = target.options.refuse_infeasible && best.finish > left;
+    return too_late ? nullptr : chosen;
 }
 
 void start(scheduler& target, const admission::queued_item& item, routing::server_model& server,
@@ -150,6 +199,11 @@
     server.last_dispatch = now;
     server.breaker.trial_running = routing::is_on_trial(server.breaker);
     server.cache.insert(work.blocks);
+    if (predicted.computed.value >= min_awaited_prefill) {
+        if (const auto root = prefix_root(work)) {
+            running.holds_prefix = target.prefixes_underway.insert(*root).second;
+        }
+    }
     target.running.emplace(work.id, std::move(running));
     routing::on_first_attempt(target.retries);
     effects.emplace_back(start_dispatch{.id = work.id, .server = server.id});
@@ -163,19 +217,21 @@
     if (!allowed) {
         return false;
     }
-    const auto* head = pool.queue.peek(*allowed);
-    if (head == nullptr) {
-        return false;
-    }
-    routing::prediction predicted;
-    auto* server = best_server(target, head->work, now, predicted);
-    if (server == nullptr) {
-        return false;
+    for (const auto* candidate : pool.queue.candidates(*allowed, max_lookahead)) {
+        if (prefix_is_underway(target, candidate->work)) {
+            continue;
+        }
+        routing::prediction predicted;
+        auto* server = best_server(target, candidate->work, now, predicted);
+        if (server == nullptr) {
+            continue;
+        }
+        const auto item = pool.queue.take(candidate->work.id);
+        target.queued_model.erase(item->work.id);
+        start(target, *item, *server, predicted, now, effects);
+        return true;
     }
-    const auto item = pool.queue.take(head->work.id);
-    target.queued_model.erase(item->work.id);
-    start(target, *item, *server, predicted, now, effects);
-    return true;
+    return false;
 }
 
 /// The model whose next dispatchable request is most urgent, among those not yet exhausted.
@@ -214,6 +270,9 @@
 }
 
 void release_slot(scheduler& target, const running_item& item) {
+    if (!item.has_first_token) {
+        forget_underway(target, item);
+    }
     const auto found = target.servers.find(item.server);
     if (found == target.servers.end()) {
         return;
@@ -254,6 +313,13 @@
     item.observed_at = now;
 }
 
+/// Sheds until the waiting requests are within their bound.
+void enforce_bound(scheduler& target, time_point now, std::vector<effect>& effects) {
+    while (queued_count(target) > target.options.max_queued) {
+        detail::shed_least_worthy(target, now, effects);
+    }
+}
+
 // One overload of `handle` for each event.
 
 void handle(scheduler& target, const arrived& what, time_point now, std::vector<effect>& effects) {
@@ -284,9 +350,7 @@
         return;
     }
     dispatch_ready(target, now, effects);
-    if (queued_count(target) > target.options.max_queued) {
-        detail::shed_least_worthy(target, now, effects);
-    }
+    enforce_bound(target, now, effects);
     if (target.queued_model.contains(work.id)) {
         detail::shed_infeasible(target, now, effects);
     }
@@ -322,6 +386,7 @@
         enqueue(target, item.work, attempts);
     }
     dispatch_ready(target, now, effects);
+    enforce_bound(target, now, effects);
 }
 
 void handle(scheduler& target, const grant_refused& what, time_point now,
@@ -341,12 +406,22 @@
     dispatch_ready(target, now, effects);
 }
 
-void handle(scheduler& target, const first_token& what, time_point now, std::vector<effect>&) {
+void learn_from_first_token(scheduler& target, running_item& item, const first_token& what,
+                            time_point now);
+
+void handle(scheduler& target, const first_token& what, time_point now,
+            std::vector<effect>& effects) {
     const auto found = target.running.find(what.id);
     if (found == target.running.end() || found->second.has_first_token) {
         return;
     }
-    auto& item = found->second;
+    forget_underway(target, found->second);
+    learn_from_first_token(target, found->second, what, now);
+    dispatch_ready(target, now, effects);
+}
+
+void learn_from_first_token(scheduler& target, running_item& item, const first_token& what,
+                            time_point now) {
     item.has_first_token = true;
     item.first_token_at = now;
     item.observed_at = now;
@@ -406,6 +481,11 @@
             routing::observe_decode(server.speed, {1}, now - item.started);
         }
     }
+    if (what.whole) {
+        auto& pool = pool_of(target, item.work.model);
+        pool.service_seconds +=
+            service_gain * (to_seconds(now - item.started) - pool.service_seconds);
+    }
     if (what.whole && at != target.servers.end() &&
         at->second.kind == config::server_kind::engine) {
         target.lengths.observe(item.work.profile, item.work.workspace, what.generated);
@@ -534,6 +614,7 @@
         digest.queued_seconds =
             static_cast<float>(pool->second.queue.work_ahead({tier_count - 1}));
         digest.lowest_kept = pool->second.queue.lowest_tier();
+        digest.service_seconds = static_cast<float>(pool->second.service_seconds);
     }
     std::vector<routing::model_digest> out;
     for (const auto& [model, digest] : digests) {
--- a/src/dispatch/shedding.cpp
+++ b/src/dispatch/shedding.cpp
@@ -13,6 +13,8 @@
 constexpr duration min_retry_after = std::chrono::seconds{1};
 /// Times that one request may move between owners.
 constexpr std::uint8_t max_transfers = 2;
+/// How much a saved prefill counts against a wait: it also spares the engine's capacity.
+constexpr int affinity_weight = 8;
 /// Digests older than this are not acted on.
 constexpr duration max_digest_age = std::chrono::seconds{2};
 /// Requests that one tick may transfer, so that a digest is not overrun.
@@ -36,6 +38,19 @@
     effects.emplace_back(transfer{.id = id, .peer = peer});
 }
 
+/// Time that a request's cached prefix saves on the owned server that has most of it.
+duration prefill_saved(const scheduler& source, const work_item& work) {
+    double best = 0.0;
+    for (const auto& [id, server] : source.servers) {
+        if (!routing::offers(server, work.model)) {
+            continue;
+        }
+        const auto cached = static_cast<double>(server.cache.match(work.blocks) * block_tokens);
+        best = std::max(best, cached / server.speed.prefill_tokens_per_second);
+    }
+    return from_seconds(best);
+}
+
 /// Whether the caller's time is too short for an idle server with a warm cache.
 bool is_unattainable(const scheduler& source, const work_item& work, time_point now) {
     const auto output = source.lengths.predict(work.profile, work.workspace, work.max_output,
@@ -210,13 +225,16 @@
     if (!target.options.refuse_infeasible || !lowest) {
         return;
     }
+    // What peers keep is known only late, so a prediction may shed nothing but the last tier;
+    // others wait until they are dispatched or can't be answered in time any more.
+    const auto may_shed = lowest->value == tier_count - 1;
     for (auto& [model, pool] : target.pools) {
         if (pool.queue.size(*lowest) == 0) {
             continue;
         }
         for (const auto& id : find_infeasible(target, pool, model, *lowest, now)) {
             const auto* item = pool.queue.find(id);
-            if (try_transfer(target, *item, true, now, effects)) {
+            if (try_transfer(target, *item, true, now, effects) || !may_shed) {
                 continue;
             }
             refuse_queued(target, id, reason::overloaded, now, effects);
@@ -238,7 +256,8 @@
             }
             const auto waited = now - head->work.arrival;
             const auto wait = from_seconds(pool.queue.work_ahead({tier_count - 1}) / slots);
-            if (std::max(waited, wait) < target.options.transfer_wait) {
+            const auto worth = target.options.transfer_wait + affinity_weight * prefill_saved(target, head->work);
+            if (std::max(waited, wait) < worth) {
                 break;
             }
             if (!try_transfer(target, *head, false, now, effects)) {
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -10,6 +10,12 @@
 /// Digests older than this say nothing about free slots.
 constexpr duration max_digest_age = std::chrono::seconds{3};
 
+/// Chance that a prefix which this instance has not sent anywhere yet is cached at its home.
+constexpr double home_confidence = 0.7;
+
+/// How much a saved prefill counts against a wait: it also spares the engine's capacity.
+constexpr double affinity_weight = 8.0;
+
 /// The servers of a model that a workspace normally uses, by rendezvous weight.
 std::vector<const placed_server*> subset_of(const std::vector<placed_server>& all,
                                             const work_item& work, std::size_t size) {
@@ -71,8 +77,9 @@
         return wait + source.options.busy_seconds;
     }
     if (owner.digest.free_slots == 0 || owner.digest.queued > 0) {
-        wait += source.options.busy_seconds;
-        wait += owner.digest.queued_seconds / std::max(1U, owner.digest.slots);
+        // A slot becomes free once in a mean service time, divided by the slots.
+        wait += (owner.digest.service_seconds + owner.digest.queued_seconds) /
+                std::max(1U, owner.digest.slots);
     } else {
         // Spreads requests in proportion to what is free, and breaks ties between idle owners.
         const auto used = 1.0 - static_cast<double>(owner.digest.free_slots) /
@@ -89,13 +96,13 @@
     return speed > 0.0F ? static_cast<double>(cached) / speed : 0.0;
 }
 
-void note_sent(owner_view& owner, const work_item& work) {
+void note_sent(owner_view& owner) {
     if (owner.digest.free_slots > 0) {
         --owner.digest.free_slots;
         return;
     }
     ++owner.digest.queued;
-    owner.digest.queued_seconds += static_cast<float>(work.max_output.value) * 0.01F;
+    owner.digest.queued_seconds += owner.digest.service_seconds;
 }
 
 bool contains(const std::vector<instance_id>& list, instance_id id) {
@@ -122,7 +129,7 @@
         owner.local_domain = server->local_domain;
         auto cost = predicted_wait(target, owner, now);
         if (target.options.affinity && cached_at == server->owner) {
-            cost -= known ? prefill_saved(work, owner) : 0.02;
+            cost -= affinity_weight * prefill_saved(work, owner) * (known ? 1.0 : home_confidence);
         }
         if (!best || cost < best->cost) {
             best = candidate{
@@ -212,7 +219,7 @@
     if (!best) {
         return std::nullopt;
     }
-    note_sent(target.owners[work.model][best->owner], work);
+    note_sent(target.owners[work.model][best->owner]);
     if (!work.blocks.empty()) {
         remember_owner(target, key, best->owner);
     }
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -181,6 +181,7 @@
                                         : std::int8_t{-1});
     out.setQueued(value.queued);
     out.setPrefillRate(value.prefill_tokens_per_second);
+    out.setServiceSeconds(value.service_seconds);
 }
 
 routing::model_digest read(schema::ModelDigest::Reader in) {
@@ -194,6 +195,7 @@
     }
     value.queued = in.getQueued();
     value.prefill_tokens_per_second = in.getPrefillRate();
+    value.service_seconds = in.getServiceSeconds();
     return value;
 }
 
--- /dev/null
+++ b/tests/unit-prefix_index.cpp
@@ -0,0 +1,114 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <list>
+
+#include "tarragonspar/routing/prefix_index.hpp"
+#include "tarragonspar/types/work.hpp"
+
+namespace {
+
+using namespace tarragonspar;
+using routing::prefix_index;
+
+std::vector<block_hash> chain(std::uint64_t document, std::size_t length) {
+    std::vector<block_hash> blocks;
+    for (std::size_t i = 0; i < length; ++i) {
+        blocks.push_back({document * 1000 + i});
+    }
+    return blocks;
+}
+
+/// A list with the same rules, searched from the front.
+struct naive_index {
+    std::size_t capacity;
+    std::list<block_hash> order;
+
+    void insert(const std::vector<block_hash>& blocks) {
+        for (auto block = blocks.rbegin(); block != blocks.rend(); ++block) {
+            order.remove(*block);
+            order.push_front(*block);
+        }
+        while (order.size() > capacity) {
+            order.pop_back();
+        }
+    }
+    std::size_t match(const std::vector<block_hash>& blocks) const {
+        std::size_t count = 0;
+        for (const auto block : blocks) {
+            if (std::find(order.begin(), order.end(), block) == order.end()) {
+                break;
+            }
+            ++count;
+        }
+        return count;
+    }
+};
+
+} // namespace
+
+TEST(HashBlocks, TwoPromptsShareTheHashesOfTheirCommonBlocks) {
+    const std::string common(3 * block_tokens * bytes_per_token, 'a');
+    const auto first = hash_blocks(common + std::string(600, 'b'));
+    const auto second = hash_blocks(common + std::string(600, 'c'));
+    ASSERT_GE(first.size(), 4U);
+    EXPECT_TRUE(std::equal(first.begin(), first.begin() + 3, second.begin()));
+    EXPECT_NE(first[3], second[3]);
+}
+
+TEST(PrefixIndex, MatchesTheLongestKnownPrefix) {
+    prefix_index index;
+    index.insert(chain(1, 4));
+    EXPECT_EQ(index.match(chain(1, 10)), 4U);
+    EXPECT_EQ(index.match(chain(2, 10)), 0U);
+}
+
+TEST(PrefixIndex, AGapInTheEventsMakesOldBeliefsDoubtful) {
+    prefix_index index;
+    EXPECT_TRUE(index.accept_event(1));
+    index.insert(chain(1, 4));
+    EXPECT_TRUE(index.accept_event(3)) << "event 2 is missing";
+    EXPECT_EQ(index.match(chain(1, 4)), 0U);
+    index.confirm(chain(1, 4), 4);
+    EXPECT_EQ(index.match(chain(1, 4)), 4U) << "an answer confirmed the blocks";
+}
+
+TEST(PrefixIndex, IgnoresRepeatedAndLateEvents) {
+    prefix_index index;
+    EXPECT_TRUE(index.accept_event(2));
+    EXPECT_FALSE(index.accept_event(2));
+    EXPECT_FALSE(index.accept_event(1));
+}
+
+TEST(PrefixIndex, BelievesLessAfterAnAnswerContradictedIt) {
+    prefix_index index(1000);
+    for (std::uint64_t document = 0; document < 10; ++document) {
+        index.insert(chain(document, 100));
+    }
+    const auto before = index.size();
+    index.confirm(chain(0, 100), 10);
+    EXPECT_LT(index.size(), before);
+}
+
+RC_GTEST_PROP(PrefixIndex, AgreesWithAPlainList, ()) {
+    const std::size_t capacity = 64;
+    prefix_index index(capacity);
+    naive_index naive{.capacity = capacity, .order = {}};
+    const auto steps = *rc::gen::inRange(1, 60);
+    for (int step = 0; step < steps; ++step) {
+        const auto blocks = chain(*rc::gen::inRange<std::uint64_t>(0, 8),
+                                  *rc::gen::inRange<std::size_t>(1, 30));
+        if (*rc::gen::inRange(0, 5) == 0) {
+            index.evict(blocks);
+            for (const auto block : blocks) {
+                naive.order.remove(block);
+            }
+        } else {
+            index.insert(blocks);
+            naive.insert(blocks);
+        }
+        const auto asked = chain(*rc::gen::inRange<std::uint64_t>(0, 8), 30);
+        RC_ASSERT(index.match(asked) == naive.match(asked));
+        RC_ASSERT(index.size() <= capacity);
+    }
+}
--- /dev/null
+++ b/tests/unit-settings.cpp
@@ -0,0 +1,92 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "tarragonspar/settings/instance_settings.hpp"
+
+namespace {
+
+using namespace tarragonspar::settings;
+
+const std::string sound = R"(
+instance: {id: 1, failure_domain: abdali}
+http: {listen: 127.0.0.1:8080}
+configuration:
+  profiles:
+    - {name: recipe, tier: 0, deadline_ms: 20000}
+  servers:
+    - {id: 1, name: e1, failure_domain: abdali, address: "127.0.0.1:9000", offers: [m]}
+)";
+
+bool has_fault(const read_result& result, const std::string& path) {
+    return std::any_of(result.faults.begin(), result.faults.end(),
+                       [&](const fault& item) { return item.path == path; });
+}
+
+} // namespace
+
+TEST(Settings, ReadsASoundFile) {
+    const auto result = read_instance_settings(sound);
+    ASSERT_TRUE(result.faults.empty()) << describe("f", result.faults.front());
+    EXPECT_EQ(result.value.http.port, 8080);
+    EXPECT_EQ(result.value.configuration.profiles.size(), 1U);
+}
+
+TEST(Settings, NamesTheLineTheKeyAndTheNearestKnownKey) {
+    const auto result = read_instance_settings("instance: {id: 1, failure_domain: a}\n"
+                                               "http:\n"
+                                               "  lisen: 127.0.0.1:8080\n");
+    ASSERT_TRUE(has_fault(result, "http.lisen"));
+    const auto found = std::find_if(result.faults.begin(), result.faults.end(),
+                                    [](const fault& item) { return item.path == "http.lisen"; });
+    EXPECT_EQ(found->line, 3);
+    EXPECT_EQ(found->column, 3);
+    EXPECT_EQ(found->nearest, "listen");
+}
+
+TEST(Settings, ReportsEveryFaultAtOnce) {
+    const auto result = read_instance_settings("instance: {id: x, failure_domain: a}\n"
+                                               "http: {listen: nowhere, threads: 0}\n"
+                                               "log: {level: loud}\n");
+    EXPECT_TRUE(has_fault(result, "instance.id"));
+    EXPECT_TRUE(has_fault(result, "http.listen"));
+    EXPECT_TRUE(has_fault(result, "http.threads"));
+    EXPECT_TRUE(has_fault(result, "log.level"));
+}
+
+TEST(Settings, RefusesAnUnknownTierAndATwiceUsedServerId) {
+    const auto result = read_instance_settings(R"(
+instance: {id: 1, failure_domain: a}
+http: {listen: 127.0.0.1:1}
+configuration:
+  profiles: [{name: p, tier: 9}]
+  servers:
+    - {id: 1, name: a, failure_domain: a, address: "127.0.0.1:1", offers: [m]}
+    - {id: 1, name: b, failure_domain: a, address: "127.0.0.1:2", offers: [m]}
+)");
+    EXPECT_TRUE(has_fault(result, "configuration.profiles[0].tier"));
+    EXPECT_TRUE(has_fault(result, "configuration.servers[1].id"));
+}
+
+TEST(Settings, RefusesMoreThanSevenControlReplicas) {
+    std::string text = "instance: {id: 1, failure_domain: a}\nhttp: {listen: 127.0.0.1:1}\n"
+                       "control: true\npeers:\n";
+    for (int id = 2; id <= 8; ++id) {
+        text += "  - {id: " + std::to_string(id) +
+                ", failure_domain: a, wire: \"127.0.0.1:1\", control: true}\n";
+    }
+    EXPECT_TRUE(has_fault(read_instance_settings(text), "peers"));
+}
+
+TEST(Settings, BrokenYamlIsOneFaultWithItsPlace) {
+    const auto result = read_instance_settings("instance: {id: 1\nhttp: [");
+    ASSERT_EQ(result.faults.size(), 1U);
+    EXPECT_GT(result.faults.front().line, 0);
+}
+
+TEST(Endpoint, TakesAnAddressAndAPort) {
+    EXPECT_EQ(parse_endpoint("10.0.0.1:80")->port, 80);
+    EXPECT_FALSE(parse_endpoint("10.0.0.1"));
+    EXPECT_FALSE(parse_endpoint("10.0.0.1:99999"));
+    EXPECT_FALSE(parse_endpoint(":80"));
+}
