--- /dev/null
+++ b/src/consensus/codec.cpp
@@ -0,0 +1,180 @@
+#include "tarragonspar/consensus/types.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace tarragonspar::consensus {
+
+namespace {
+
+using nlohmann::json;
+
+json ids_to_json(const std::vector<replica_id>& ids) {
+    json list = json::array();
+    for (const auto id : ids) {
+        list.push_back(id.value);
+    }
+    return list;
+}
+
+std::vector<replica_id> ids_from_json(const json& list) {
+    std::vector<replica_id> ids;
+    for (const auto& item : list) {
+        ids.push_back({item.get<std::uint64_t>()});
+    }
+    return ids;
+}
+
+json group_to_json(const group& value) {
+    return json::array({ids_to_json(value.voters), ids_to_json(value.learners)});
+}
+
+group group_from_json(const json& in) {
+    return {.voters = ids_from_json(in.at(0)), .learners = ids_from_json(in.at(1))};
+}
+
+json binary(const std::string& bytes) {
+    return json::binary({bytes.begin(), bytes.end()});
+}
+
+std::string text_of(const json& in) {
+    const auto& bytes = in.get_binary();
+    return {bytes.begin(), bytes.end()};
+}
+
+json entry_to_json(const entry& value) {
+    return json::array({value.term.value, value.index.value, static_cast<int>(value.kind),
+                        binary(value.data)});
+}
+
+entry entry_from_json(const json& in) {
+    return {.term = {in.at(0).get<std::uint64_t>()},
+            .index = {in.at(1).get<std::uint64_t>()},
+            .kind = static_cast<entry_kind>(in.at(2).get<int>()),
+            .data = text_of(in.at(3))};
+}
+
+json mark_to_json(const snapshot_mark& value) {
+    return json::array({value.index.value, value.term.value, group_to_json(value.members)});
+}
+
+snapshot_mark mark_from_json(const json& in) {
+    return {.index = {in.at(0).get<std::uint64_t>()},
+            .term = {in.at(1).get<std::uint64_t>()},
+            .members = group_from_json(in.at(2))};
+}
+
+/// Writes the fields of a message's body behind its kind.
+struct body_writer {
+    json operator()(const vote_request& value) const {
+        return json::array({value.last_index.value, value.last_term.value, value.pre_vote});
+    }
+    json operator()(const vote_reply& value) const {
+        return json::array({value.granted, value.pre_vote});
+    }
+    json operator()(const append_request& value) const {
+        json entries = json::array();
+        for (const auto& item : value.entries) {
+            entries.push_back(entry_to_json(item));
+        }
+        return json::array({value.previous_index.value, value.previous_term.value, entries,
+                            value.commit.value, value.round});
+    }
+    json operator()(const append_reply& value) const {
+        return json::array({value.success, value.match.value, value.round});
+    }
+    json operator()(const snapshot_chunk& value) const {
+        return json::array({mark_to_json(value.mark), value.offset, value.total,
+                            binary(value.data), value.round});
+    }
+    json operator()(const snapshot_reply& value) const {
+        return json::array({value.index.value, value.next_offset, value.round});
+    }
+};
+
+message_body read_body(std::size_t kind, const json& in) {
+    switch (kind) {
+    case 0:
+        return vote_request{.last_index = {in.at(0).get<std::uint64_t>()},
+                            .last_term = {in.at(1).get<std::uint64_t>()},
+                            .pre_vote = in.at(2).get<bool>()};
+    case 1:
+        return vote_reply{.granted = in.at(0).get<bool>(), .pre_vote = in.at(1).get<bool>()};
+    case 2: {
+        append_request value{.previous_index = {in.at(0).get<std::uint64_t>()},
+                             .previous_term = {in.at(1).get<std::uint64_t>()},
+                             .entries = {},
+                             .commit = {in.at(3).get<std::uint64_t>()},
+                             .round = in.at(4).get<std::uint64_t>()};
+        for (const auto& item : in.at(2)) {
+            value.entries.push_back(entry_from_json(item));
+        }
+        return value;
+    }
+    case 3:
+        return append_reply{.success = in.at(0).get<bool>(),
+                            .match = {in.at(1).get<std::uint64_t>()},
+                            .round = in.at(2).get<std::uint64_t>()};
+    case 4:
+        return snapshot_chunk{.mark = mark_from_json(in.at(0)),
+                              .offset = in.at(1).get<std::uint64_t>(),
+                              .total = in.at(2).get<std::uint64_t>(),
+                              .data = text_of(in.at(3)),
+                              .round = in.at(4).get<std::uint64_t>()};
+    default:
+        return snapshot_reply{.index = {in.at(0).get<std::uint64_t>()},
+                              .next_offset = in.at(1).get<std::uint64_t>(),
+                              .round = in.at(2).get<std::uint64_t>()};
+    }
+}
+
+std::string to_bytes(const json& value) {
+    std::string out;
+    json::to_cbor(value, out);
+    return out;
+}
+
+} // namespace
+
+std::string encode(const std::vector<message>& messages) {
+    json list = json::array();
+    for (const auto& item : messages) {
+        list.push_back(json::array({item.from.value, item.to.value, item.term.value,
+                                    item.body.index(), std::visit(body_writer{}, item.body)}));
+    }
+    return to_bytes(list);
+}
+
+std::vector<message> decode(const std::string& bytes) {
+    std::vector<message> messages;
+    try {
+        // Some faults are thrown even where the reader is asked not to throw.
+        const auto list = json::from_cbor(bytes);
+        for (const auto& item : list) {
+            messages.push_back({.from = {item.at(0).get<std::uint64_t>()},
+                                .to = {item.at(1).get<std::uint64_t>()},
+                                .term = {item.at(2).get<std::uint64_t>()},
+                                .body = read_body(item.at(3).get<std::size_t>(), item.at(4))});
+        }
+    } catch (const json::exception&) {
+        return {};
+    }
+    return messages;
+}
+
+std::string encode(const entry& value) {
+    return to_bytes(entry_to_json(value));
+}
+
+entry decode_entry(const std::string& bytes) {
+    return entry_from_json(json::from_cbor(bytes));
+}
+
+std::string encode(const group& value) {
+    return to_bytes(group_to_json(value));
+}
+
+group decode_group(const std::string& bytes) {
+    return group_from_json(json::from_cbor(bytes));
+}
+
+} // namespace tarragonspar::consensus
--- /dev/null
+++ b/src/consensus/log_view.cpp
@@ -0,0 +1,72 @@
+#include "tarragonspar/consensus/detail/log_view.hpp"
+
+#include <algorithm>
+
+namespace tarragonspar::consensus {
+
+log_index last_index(const replica& source) {
+    return source.entries.empty() ? source.snapshot.index : source.entries.back().index;
+}
+
+group current_group(const replica& source) {
+    return detail::group_at(source, last_index(source));
+}
+
+bool is_changing_group(const replica& source) {
+    return std::any_of(source.entries.begin(), source.entries.end(), [&](const entry& item) {
+        return item.kind == entry_kind::members && item.index > source.commit;
+    });
+}
+
+bool is_caught_up(const replica& source, replica_id learner) {
+    const auto found = source.followers.find(learner);
+    return found != source.followers.end() && found->second.match >= source.commit;
+}
+
+namespace detail {
+
+std::optional<term_number> term_at(const replica& source, log_index index) {
+    if (index == source.snapshot.index) {
+        return source.snapshot.term;
+    }
+    if (index < source.snapshot.index || index > last_index(source)) {
+        return std::nullopt;
+    }
+    return entry_at(source, index).term;
+}
+
+const entry& entry_at(const replica& source, log_index index) {
+    return source.entries.at(index.value - source.snapshot.index.value - 1);
+}
+
+group group_at(const replica& source, log_index index) {
+    for (auto item = source.entries.rbegin(); item != source.entries.rend(); ++item) {
+        if (item->kind == entry_kind::members && item->index <= index) {
+            return decode_group(item->data);
+        }
+    }
+    return source.snapshot.members;
+}
+
+std::vector<entry> entries_from(const replica& source, log_index index, std::size_t limit) {
+    std::vector<entry> out;
+    for (auto at = index; at <= last_index(source) && out.size() < limit; ++at.value) {
+        out.push_back(entry_at(source, at));
+    }
+    return out;
+}
+
+bool is_voter(const group& members, replica_id id) {
+    return std::binary_search(members.voters.begin(), members.voters.end(), id);
+}
+
+bool is_small_step(const group& from, const group& to) {
+    std::vector<replica_id> changed;
+    std::set_symmetric_difference(from.voters.begin(), from.voters.end(), to.voters.begin(),
+                                  to.voters.end(), std::back_inserter(changed));
+    return changed.size() <= 1 && !to.voters.empty();
+}
+
+} // namespace detail
+
+} // namespace tarragonspar::consensus
--- /dev/null
+++ b/src/consensus/replica.cpp
@@ -0,0 +1,585 @@
+#include "tarragonspar/consensus/replica.hpp"
+
+#include <algorithm>
+
+#include "tarragonspar/consensus/detail/log_view.hpp"
+
+namespace tarragonspar::consensus {
+
+namespace {
+
+using detail::entry_at;
+using detail::is_quorum;
+using detail::is_voter;
+using detail::term_at;
+
+/// All that a step needs, so that helpers take one argument.
+struct context {
+    replica& self;
+    time_point now;
+    std::mt19937_64& random;
+    std::vector<effect>& effects;
+};
+
+void send_to(context& in, replica_id to, term_number term, message_body body) {
+    in.effects.emplace_back(
+        send{.what = {.from = in.self.self, .to = to, .term = term, .body = std::move(body)}});
+}
+
+void store_vote(context& in) {
+    in.effects.emplace_back(store_term{.term = in.self.term, .voted_for = in.self.voted_for});
+}
+
+void reset_election(context& in) {
+    const auto& options = in.self.options;
+    std::uniform_int_distribution<std::int64_t> wait(options.election_min.count(),
+                                                     options.election_max.count());
+    in.self.election_due = in.now + duration{wait(in.random)};
+}
+
+void fail_reads(context& in) {
+    for (const auto& item : in.self.reads) {
+        in.effects.emplace_back(read_ready{.token = item.token, .index = std::nullopt});
+    }
+    in.self.reads.clear();
+}
+
+void become_follower(context& in, term_number term, std::optional<replica_id> leader) {
+    const auto was_leader = in.self.current == role::leader;
+    if (term > in.self.term) {
+        in.self.term = term;
+        in.self.voted_for = std::nullopt;
+        store_vote(in);
+    }
+    in.self.current = role::follower;
+    in.self.leader = leader;
+    in.self.followers.clear();
+    if (was_leader) {
+        fail_reads(in);
+        in.effects.emplace_back(role_changed{.now = role::follower, .term = in.self.term});
+    }
+}
+
+void append_own(context& in, entry_kind kind, std::string data) {
+    entry added{.term = in.self.term,
+                .index = {last_index(in.self).value + 1},
+                .kind = kind,
+                .data = std::move(data)};
+    in.self.entries.push_back(added);
+    in.effects.emplace_back(store_entries{.from = added.index, .added = {added}});
+}
+
+void apply_up_to(context& in, log_index commit) {
+    commit = std::min(commit, last_index(in.self));
+    while (in.self.commit < commit) {
+        ++in.self.commit.value;
+        in.effects.emplace_back(apply{.what = entry_at(in.self, in.self.commit)});
+    }
+}
+
+void send_entries(context& in, replica_id to, follower_progress& progress) {
+    if (progress.next <= in.self.snapshot.index) {
+        const auto offset = progress.snapshot_offset.value_or(0);
+        progress.snapshot_offset = offset;
+        send_to(in, to, in.self.term,
+                snapshot_chunk{.mark = in.self.snapshot,
+                               .offset = offset,
+                               .total = in.self.snapshot_data.size(),
+                               .data = in.self.snapshot_data.substr(
+                                   offset, in.self.options.snapshot_chunk_bytes),
+                               .round = in.self.round});
+        return;
+    }
+    const log_index previous{progress.next.value - 1};
+    auto entries =
+        detail::entries_from(in.self, progress.next, in.self.options.max_entries_per_message);
+    const auto count = entries.size();
+    send_to(in, to, in.self.term,
+            append_request{.previous_index = previous,
+                           .previous_term = *term_at(in.self, previous),
+                           .entries = std::move(entries),
+                           .commit = in.self.commit,
+                           .round = in.self.round});
+    progress.next.value += count;
+}
+
+/// Makes the set of followers that progress is kept for follow the group.
+void refresh_followers(context& in) {
+    const auto members = current_group(in.self);
+    std::vector<replica_id> all = members.voters;
+    all.insert(all.end(), members.learners.begin(), members.learners.end());
+    for (const auto id : all) {
+        if (id == in.self.self) {
+            continue;
+        }
+        in.self.followers.try_emplace(
+            id, follower_progress{.next = {last_index(in.self).value + 1}, .heard = in.now});
+    }
+    std::erase_if(in.self.followers, [&](const auto& item) {
+        return std::find(all.begin(), all.end(), item.first) == all.end();
+    });
+}
+
+void broadcast(context& in) {
+    refresh_followers(in);
+    for (auto& [id, progress] : in.self.followers) {
+        send_entries(in, id, progress);
+    }
+    in.self.heartbeat_due = in.now + in.self.options.heartbeat;
+}
+
+void answer_reads(context& in) {
+    const auto members = current_group(in.self);
+    std::erase_if(in.self.reads, [&](const pending_read& item) {
+        const auto proved = is_quorum(members, [&](replica_id id) {
+            const auto found = in.self.followers.find(id);
+            return id == in.self.self || (found != in.self.followers.end() &&
+                                          found->second.acknowledged_round >= item.round);
+        });
+        if (proved) {
+            in.effects.emplace_back(read_ready{.token = item.token, .index = item.index});
+        }
+        return proved;
+    });
+}
+
+void step_down_if_removed(context& in) {
+    const auto committed = detail::group_at(in.self, in.self.commit);
+    if (in.self.current == role::leader && !is_voter(committed, in.self.self) &&
+        !is_changing_group(in.self)) {
+        become_follower(in, in.self.term, std::nullopt);
+    }
+}
+
+void advance_commit(context& in) {
+    const auto members = current_group(in.self);
+    auto candidate = last_index(in.self);
+    while (candidate > in.self.commit && term_at(in.self, candidate) == in.self.term) {
+        const auto held = is_quorum(members, [&](replica_id id) {
+            const auto found = in.self.followers.find(id);
+            return id == in.self.self ||
+                   (found != in.self.followers.end() && found->second.match >= candidate);
+        });
+        if (held) {
+            apply_up_to(in, candidate);
+            step_down_if_removed(in);
+            return;
+        }
+        --candidate.value;
+    }
+}
+
+void become_leader(context& in) {
+    in.self.current = role::leader;
+    in.self.leader = in.self.self;
+    in.self.followers.clear();
+    in.effects.emplace_back(role_changed{.now = role::leader, .term = in.self.term});
+    refresh_followers(in);
+    append_own(in, entry_kind::barrier, {});
+    advance_commit(in);
+    broadcast(in);
+}
+
+void ask_for_votes(context& in, bool pre_vote) {
+    const auto members = current_group(in.self);
+    const auto term = pre_vote ? term_number{in.self.term.value + 1} : in.self.term;
+    const auto last = last_index(in.self);
+    for (const auto id : members.voters) {
+        if (id != in.self.self) {
+            send_to(in, id, term,
+                    vote_request{.last_index = last,
+                                 .last_term = *term_at(in.self, last),
+                                 .pre_vote = pre_vote});
+        }
+    }
+}
+
+void campaign(context& in);
+
+void count_votes(context& in) {
+    const auto won = is_quorum(current_group(in.self),
+                               [&](replica_id id) { return in.self.votes.contains(id); });
+    if (!won) {
+        return;
+    }
+    if (in.self.current == role::pre_candidate) {
+        campaign(in);
+    } else if (in.self.current == role::candidate) {
+        become_leader(in);
+    }
+}
+
+void campaign(context& in) {
+    in.self.current = role::candidate;
+    ++in.self.term.value;
+    in.self.voted_for = in.self.self;
+    in.self.leader = std::nullopt;
+    in.self.votes = {in.self.self};
+    reset_election(in);
+    store_vote(in);
+    ask_for_votes(in, false);
+    count_votes(in);
+}
+
+void pre_campaign(context& in) {
+    reset_election(in);
+    if (!is_voter(current_group(in.self), in.self.self)) {
+        return;
+    }
+    in.self.current = role::pre_candidate;
+    in.self.leader = std::nullopt;
+    in.self.votes = {in.self.self};
+    ask_for_votes(in, true);
+    count_votes(in);
+}
+
+// Messages.
+
+bool is_log_as_new(const replica& self, const vote_request& request) {
+    const auto last = last_index(self);
+    return std::pair(request.last_term, request.last_index) >=
+           std::pair(*term_at(self, last), last);
+}
+
+bool hears_a_leader(const context& in) {
+    return in.self.current == role::leader ||
+           (in.self.leader && in.now - in.self.leader_heard < in.self.options.election_min);
+}
+
+void on_vote_request(context& in, const message& from, const vote_request& request) {
+    if (hears_a_leader(in) && from.term > in.self.term) {
+        return; // a replica that lost contact must not unseat a leader that others hear
+    }
+    if (request.pre_vote) {
+        const auto granted = from.term > in.self.term && is_log_as_new(in.self, request);
+        send_to(in, from.from, granted ? from.term : in.self.term,
+                vote_reply{.granted = granted, .pre_vote = true});
+        return;
+    }
+    if (from.term > in.self.term) {
+        become_follower(in, from.term, std::nullopt);
+    }
+    const auto free = !in.self.voted_for || *in.self.voted_for == from.from;
+    const auto passive =
+        in.self.current == role::follower || in.self.current == role::pre_candidate;
+    const auto granted =
+        from.term == in.self.term && free && passive && is_log_as_new(in.self, request);
+    if (granted && !in.self.voted_for) {
+        in.self.current = role::follower;
+        in.self.voted_for = from.from;
+        store_vote(in);
+        reset_election(in);
+    }
+    send_to(in, from.from, in.self.term, vote_reply{.granted = granted, .pre_vote = false});
+}
+
+void on_vote_reply(context& in, const message& from, const vote_reply& reply) {
+    if (!reply.granted) {
+        if (from.term > in.self.term) {
+            become_follower(in, from.term, std::nullopt);
+        }
+        return;
+    }
+    const auto wanted = reply.pre_vote ? role::pre_candidate : role::candidate;
+    const auto term = reply.pre_vote ? term_number{in.self.term.value + 1} : in.self.term;
+    if (in.self.current == wanted && from.term == term) {
+        in.self.votes.insert(from.from);
+        count_votes(in);
+    }
+}
+
+/// Appends what is new; a conflict can only be behind the committed entries.
+void take_entries(context& in, const std::vector<entry>& entries) {
+    auto first_new = entries.begin();
+    while (first_new != entries.end() &&
+           (first_new->index <= in.self.snapshot.index ||
+            term_at(in.self, first_new->index) == first_new->term)) {
+        ++first_new;
+    }
+    if (first_new == entries.end()) {
+        return;
+    }
+    const auto from = first_new->index;
+    while (!in.self.entries.empty() && in.self.entries.back().index >= from) {
+        in.self.entries.pop_back();
+    }
+    std::vector<entry> added(first_new, entries.end());
+    in.self.entries.insert(in.self.entries.end(), added.begin(), added.end());
+    in.effects.emplace_back(store_entries{.from = from, .added = std::move(added)});
+}
+
+void follow(context& in, const message& from) {
+    become_follower(in, from.term, from.from);
+    in.self.leader_heard = in.now;
+    reset_election(in);
+}
+
+void on_append(context& in, const message& from, const append_request& request) {
+    if (from.term < in.self.term) {
+        send_to(in, from.from, in.self.term,
+                append_reply{.success = false, .match = {}, .round = request.round});
+        return;
+    }
+    follow(in, from);
+    const auto previous = request.previous_index;
+    const auto known = previous < in.self.snapshot.index ||
+                       term_at(in.self, previous) == request.previous_term;
+    if (!known) {
+        const auto hint = std::min(last_index(in.self).value, previous.value - 1);
+        send_to(in, from.from, in.self.term,
+                append_reply{.success = false, .match = {hint}, .round = request.round});
+        return;
+    }
+    take_entries(in, request.entries);
+    const log_index match{previous.value + request.entries.size()};
+    apply_up_to(in, std::min(request.commit, match));
+    send_to(in, from.from, in.self.term,
+            append_reply{.success = true, .match = match, .round = request.round});
+}
+
+void note_heard(context& in, follower_progress& progress, std::uint64_t round) {
+    progress.heard = in.now;
+    progress.acknowledged_round = std::max(progress.acknowledged_round, round);
+    answer_reads(in);
+}
+
+void on_append_reply(context& in, const message& from, const append_reply& reply) {
+    const auto found = in.self.followers.find(from.from);
+    if (in.self.current != role::leader || from.term != in.self.term ||
+        found == in.self.followers.end()) {
+        return;
+    }
+    auto& progress = found->second;
+    note_heard(in, progress, reply.round);
+    if (!reply.success) {
+        progress.next = {std::max(progress.match.value, reply.match.value) + 1};
+        send_entries(in, from.from, progress);
+        return;
+    }
+    progress.match = std::max(progress.match, reply.match);
+    progress.next = std::max(progress.next, {progress.match.value + 1});
+    advance_commit(in);
+    if (in.self.current == role::leader && progress.next <= last_index(in.self)) {
+        send_entries(in, from.from, progress);
+    }
+}
+
+void install_snapshot(context& in) {
+    auto& self = in.self;
+    self.snapshot = self.incoming_mark;
+    self.snapshot_data = std::move(self.incoming_snapshot);
+    self.incoming_snapshot.clear();
+    // Entries behind the snapshot may belong to another history; the leader sends them again.
+    self.entries.clear();
+    self.commit = self.snapshot.index;
+    in.effects.emplace_back(store_snapshot{.mark = self.snapshot, .data = self.snapshot_data});
+    in.effects.emplace_back(restore{.mark = self.snapshot, .data = self.snapshot_data});
+}
+
+void on_snapshot(context& in, const message& from, const snapshot_chunk& chunk) {
+    if (from.term < in.self.term) {
+        return;
+    }
+    follow(in, from);
+    std::uint64_t next = chunk.total;
+    if (chunk.mark.index > in.self.commit) {
+        if (chunk.offset == 0 || chunk.mark != in.self.incoming_mark) {
+            in.self.incoming_mark = chunk.mark;
+            in.self.incoming_snapshot.clear();
+        }
+        if (chunk.offset == in.self.incoming_snapshot.size()) {
+            in.self.incoming_snapshot += chunk.data;
+        }
+        next = in.self.incoming_snapshot.size();
+        if (next == chunk.total) {
+            install_snapshot(in);
+        }
+    }
+    send_to(in, from.from, in.self.term,
+            snapshot_reply{.index = chunk.mark.index, .next_offset = next, .round = chunk.round});
+}
+
+void on_snapshot_reply(context& in, const message& from, const snapshot_reply& reply) {
+    const auto found = in.self.followers.find(from.from);
+    if (in.self.current != role::leader || from.term != in.self.term ||
+        found == in.self.followers.end()) {
+        return;
+    }
+    auto& progress = found->second;
+    note_heard(in, progress, reply.round);
+    if (reply.index != in.self.snapshot.index) {
+        progress.snapshot_offset = std::nullopt;
+        return;
+    }
+    if (reply.next_offset < in.self.snapshot_data.size()) {
+        const auto moved = progress.snapshot_offset != reply.next_offset;
+        progress.snapshot_offset = reply.next_offset;
+        if (moved) {
+            send_entries(in, from.from, progress);
+        }
+        return;
+    }
+    progress.snapshot_offset = std::nullopt;
+    progress.match = std::max(progress.match, reply.index);
+    progress.next = std::max(progress.next, {reply.index.value + 1});
+    advance_commit(in);
+    if (in.self.current == role::leader) {
+        send_entries(in, from.from, progress);
+    }
+}
+
+/// A reply from a newer term ends this replica's leadership or candidacy.
+bool is_overtaken(const context& in, const message& from) {
+    const auto is_vote_traffic = std::holds_alternative<vote_request>(from.body) ||
+                                 std::holds_alternative<vote_reply>(from.body);
+    return from.term > in.self.term && !is_vote_traffic;
+}
+
+// Events.
+
+void handle(context& in, const received& what) {
+    const auto& from = what.what;
+    if (from.to != in.self.self) {
+        return; // meant for an earlier identity of this instance
+    }
+    if (is_overtaken(in, from)) {
+        become_follower(in, from.term, std::nullopt);
+    }
+    if (const auto* vote = std::get_if<vote_request>(&from.body)) {
+        on_vote_request(in, from, *vote);
+    } else if (const auto* voted = std::get_if<vote_reply>(&from.body)) {
+        on_vote_reply(in, from, *voted);
+    } else if (const auto* append = std::get_if<append_request>(&from.body)) {
+        on_append(in, from, *append);
+    } else if (const auto* appended = std::get_if<append_reply>(&from.body)) {
+        on_append_reply(in, from, *appended);
+    } else if (const auto* chunk = std::get_if<snapshot_chunk>(&from.body)) {
+        on_snapshot(in, from, *chunk);
+    } else if (const auto* taken = std::get_if<snapshot_reply>(&from.body)) {
+        on_snapshot_reply(in, from, *taken);
+    }
+}
+
+void check_quorum(context& in) {
+    const auto heard = is_quorum(current_group(in.self), [&](replica_id id) {
+        const auto found = in.self.followers.find(id);
+        return id == in.self.self || (found != in.self.followers.end() &&
+                                      in.now - found->second.heard < in.self.options.election_max);
+    });
+    if (!heard) {
+        become_follower(in, in.self.term, std::nullopt);
+        reset_election(in);
+    }
+}
+
+void handle(context& in, const ticked&) {
+    if (in.self.current == role::leader) {
+        check_quorum(in);
+        if (in.self.current == role::leader && in.now >= in.self.heartbeat_due) {
+            for (auto& [id, progress] : in.self.followers) {
+                // What was sent and not acknowledged is sent again.
+                if (progress.match.value > 0) {
+                    progress.next = {progress.match.value + 1};
+                }
+            }
+            broadcast(in);
+        }
+        return;
+    }
+    if (in.now >= in.self.election_due) {
+        pre_campaign(in);
+    }
+}
+
+void handle(context& in, const propose& what) {
+    if (in.self.current != role::leader) {
+        in.effects.emplace_back(
+            proposed{.token = what.token, .index = std::nullopt, .term = in.self.term});
+        return;
+    }
+    append_own(in, entry_kind::command, what.data);
+    in.effects.emplace_back(
+        proposed{.token = what.token, .index = last_index(in.self), .term = in.self.term});
+    broadcast(in);
+    advance_commit(in);
+}
+
+bool may_change_group(const replica& self, const group& next) {
+    const auto present = current_group(self);
+    const auto settled = term_at(self, self.commit) == self.term && !is_changing_group(self);
+    if (self.current != role::leader || !settled || !detail::is_small_step(present, next)) {
+        return false;
+    }
+    return std::all_of(next.voters.begin(), next.voters.end(), [&](replica_id id) {
+        return is_voter(present, id) || is_caught_up(self, id);
+    });
+}
+
+void handle(context& in, const propose_group& what) {
+    if (!may_change_group(in.self, what.next)) {
+        in.effects.emplace_back(
+            proposed{.token = what.token, .index = std::nullopt, .term = in.self.term});
+        return;
+    }
+    append_own(in, entry_kind::members, encode(what.next));
+    in.effects.emplace_back(
+        proposed{.token = what.token, .index = last_index(in.self), .term = in.self.term});
+    broadcast(in);
+    advance_commit(in);
+}
+
+void handle(context& in, const read_request& what) {
+    const auto proved = term_at(in.self, in.self.commit) == in.self.term;
+    if (in.self.current != role::leader || !proved) {
+        in.effects.emplace_back(read_ready{.token = what.token, .index = std::nullopt});
+        return;
+    }
+    ++in.self.round;
+    in.self.reads.push_back(
+        {.token = what.token, .round = in.self.round, .index = in.self.commit});
+    broadcast(in);
+    answer_reads(in);
+}
+
+void handle(context& in, const compacted& what) {
+    if (what.index <= in.self.snapshot.index || what.index > in.self.commit) {
+        return;
+    }
+    const snapshot_mark mark{.index = what.index,
+                             .term = *term_at(in.self, what.index),
+                             .members = detail::group_at(in.self, what.index)};
+    while (!in.self.entries.empty() && in.self.entries.front().index <= what.index) {
+        in.self.entries.pop_front();
+    }
+    in.self.snapshot = mark;
+    in.self.snapshot_data = what.data;
+    for (auto& [id, progress] : in.self.followers) {
+        progress.snapshot_offset = std::nullopt;
+    }
+    in.effects.emplace_back(store_snapshot{.mark = mark, .data = what.data});
+}
+
+} // namespace
+
+replica make_replica(const replica_options& options, replica_id self, durable_state stored,
+                     time_point now, std::mt19937_64& random) {
+    replica out{.options = options, .self = self};
+    out.term = stored.term;
+    out.voted_for = stored.voted_for;
+    out.snapshot = std::move(stored.snapshot);
+    out.snapshot_data = std::move(stored.snapshot_data);
+    out.entries.assign(stored.entries.begin(), stored.entries.end());
+    out.commit = out.snapshot.index;
+    std::vector<effect> none;
+    context in{.self = out, .now = now, .random = random, .effects = none};
+    reset_election(in);
+    return out;
+}
+
+void step(replica& target, const event& what, time_point now, std::mt19937_64& random,
+          std::vector<effect>& effects) {
+    context in{.self = target, .now = now, .random = random, .effects = effects};
+    std::visit([&](const auto& specific) { handle(in, specific); }, what);
+}
+
+} // namespace tarragonspar::consensus
--- /dev/null
+++ b/tests/unit-storage.cpp
@@ -0,0 +1,176 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include <boost/leaf.hpp>
+#include <sys/resource.h>
+#include <csignal>
+
+#include "tarragonspar/storage/log_file.hpp"
+
+namespace {
+
+namespace leaf = boost::leaf;
+using namespace tarragonspar::storage;
+
+/// A folder that is removed at the end of a test.
+class temporary_folder {
+  public:
+    temporary_folder() {
+        auto pattern = (std::filesystem::temp_directory_path() / "tarragon-XXXXXX").string();
+        path_ = ::mkdtemp(pattern.data());
+    }
+    temporary_folder(const temporary_folder&) = delete;
+    temporary_folder& operator=(const temporary_folder&) = delete;
+    ~temporary_folder() {
+        std::error_code ignored;
+        std::filesystem::remove_all(path_, ignored);
+    }
+    [[nodiscard]] std::string file(const std::string& name) const {
+        return path_ + "/" + name;
+    }
+
+  private:
+    std::string path_;
+};
+
+struct opened {
+    std::vector<std::string> records;
+    std::optional<file_fault> fault;
+};
+
+/// Opens a log, appends records, and reports what was replayed and what went wrong.
+opened open_and_append(const std::string& path, const std::vector<std::string>& added) {
+    opened out;
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(log, log_file::open(path, [&](std::string_view record) {
+                                out.records.emplace_back(record);
+                            }));
+            return log.append(added);
+        },
+        [&](const file_fault& fault) { out.fault = fault; }, [] { FAIL() << "unknown error"; });
+    return out;
+}
+
+void write_bytes(const std::string& path, const std::string& bytes) {
+    std::ofstream(path, std::ios::binary | std::ios::trunc) << bytes;
+}
+
+std::string read_bytes(const std::string& path) {
+    std::ifstream in(path, std::ios::binary);
+    return {std::istreambuf_iterator<char>(in), {}};
+}
+
+} // namespace
+
+TEST(LogFile, GivesBackItsRecordsInOrder) {
+    const temporary_folder folder;
+    open_and_append(folder.file("log"), {"one", "", "three"});
+    open_and_append(folder.file("log"), {"four"});
+    const auto seen = open_and_append(folder.file("log"), {});
+    EXPECT_EQ(seen.records, (std::vector<std::string>{"one", "", "three", "four"}));
+}
+
+TEST(LogFile, CutsATornTail) {
+    const temporary_folder folder;
+    const auto path = folder.file("log");
+    open_and_append(path, {"one", "two"});
+    const auto whole = read_bytes(path);
+    const auto before_two = whole.size() - 16 - 3;
+    for (auto length = before_two; length < whole.size(); ++length) {
+        write_bytes(path, whole.substr(0, length));
+        const auto seen = open_and_append(path, {"new"});
+        ASSERT_FALSE(seen.fault) << describe(*seen.fault);
+        EXPECT_EQ(seen.records, std::vector<std::string>{"one"});
+        EXPECT_EQ(open_and_append(path, {}).records, (std::vector<std::string>{"one", "new"}));
+    }
+}
+
+TEST(LogFile, RefusesDamageAndNamesFileAndOffset) {
+    const temporary_folder folder;
+    const auto path = folder.file("log");
+    open_and_append(path, {"first", "second"});
+    const auto whole = read_bytes(path);
+    for (std::size_t at = 8; at < whole.size(); ++at) {
+        auto damaged = whole;
+        damaged[at] = static_cast<char>(damaged[at] ^ 0x40);
+        write_bytes(path, damaged);
+        const auto seen = open_and_append(path, {});
+        ASSERT_TRUE(seen.fault) << "a flipped bit at " << at << " went unnoticed";
+        EXPECT_EQ(seen.fault->kind, fault_kind::corrupt);
+        EXPECT_EQ(seen.fault->file, path);
+        EXPECT_LE(seen.fault->offset, at);
+    }
+}
+
+TEST(LogFile, RefusesAForeignFile) {
+    const temporary_folder folder;
+    write_bytes(folder.file("log"), "something else entirely");
+    EXPECT_EQ(open_and_append(folder.file("log"), {}).fault->kind, fault_kind::wrong_format);
+}
+
+TEST(LogFile, AFullDiskLosesNothingAndCountsNothing) {
+    const temporary_folder folder;
+    const auto path = folder.file("log");
+    open_and_append(path, {"kept"});
+    std::signal(SIGXFSZ, SIG_IGN);
+    rlimit before{};
+    ::getrlimit(RLIMIT_FSIZE, &before);
+    rlimit small = before;
+    small.rlim_cur = 4096;
+    ::setrlimit(RLIMIT_FSIZE, &small);
+    const auto refused = open_and_append(path, {std::string(100'000, 'x')});
+    ::setrlimit(RLIMIT_FSIZE, &before);
+    EXPECT_TRUE(refused.fault);
+    EXPECT_EQ(open_and_append(path, {"more"}).records, std::vector<std::string>{"kept"});
+    EXPECT_EQ(open_and_append(path, {}).records, (std::vector<std::string>{"kept", "more"}));
+}
+
+TEST(SnapshotFile, IsReplacedWhole) {
+    const temporary_folder folder;
+    const auto path = folder.file("snapshot");
+    EXPECT_EQ(read_file(path).value(), "");
+    ASSERT_TRUE(replace_file(path, "first"));
+    ASSERT_TRUE(replace_file(path, std::string(100'000, 'y')));
+    EXPECT_EQ(read_file(path).value().size(), 100'000U);
+}
+
+TEST(SnapshotFile, RefusesDamage) {
+    const temporary_folder folder;
+    const auto path = folder.file("snapshot");
+    ASSERT_TRUE(replace_file(path, "content"));
+    auto bytes = read_bytes(path);
+    bytes.back() = static_cast<char>(bytes.back() ^ 1);
+    write_bytes(path, bytes);
+    std::optional<file_fault> seen;
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_CHECK(read_file(path));
+            return {};
+        },
+        [&](const file_fault& fault) { seen = fault; }, [] {});
+    ASSERT_TRUE(seen);
+    EXPECT_EQ(seen->kind, fault_kind::corrupt);
+}
+
+// Whatever prefix of the last group reached the disk, what was synced before is there.
+RC_GTEST_PROP(LogFile, NeverLosesASyncedRecord, ()) {
+    const temporary_folder folder;
+    const auto path = folder.file("log");
+    const auto first = *rc::gen::container<std::vector<std::string>>(rc::gen::arbitrary<std::string>());
+    const auto second =
+        *rc::gen::container<std::vector<std::string>>(rc::gen::arbitrary<std::string>());
+    open_and_append(path, first);
+    const auto synced = read_bytes(path).size();
+    open_and_append(path, second);
+    const auto whole = read_bytes(path);
+    const auto length = *rc::gen::inRange<std::size_t>(synced, whole.size() + 1);
+    write_bytes(path, whole.substr(0, length));
+    const auto seen = open_and_append(path, {});
+    RC_ASSERT(!seen.fault);
+    RC_ASSERT(seen.records.size() >= first.size());
+    RC_ASSERT(std::equal(first.begin(), first.end(), seen.records.begin()));
+}
