Replicated configuration and keys: control replicas in tarragond, issued and claimed keys

Cause: each instance kept a configuration of its own, and a resent booking could run at every instance it was sent to.

--- /dev/null
+++ b/include/tarragonspar/control/state.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <string>
+#include <variant>
+
+#include "tarragonspar/config/state.hpp"
+#include "tarragonspar/idempotency/key_table.hpp"
+
+/// @brief The state machine that the control replicas agree on.
+namespace tarragonspar::control {
+
+/// What an entry of the replicated log asks for.
+using command = std::variant<config::change, idempotency::claim, idempotency::settlement>;
+
+/// What the proposer of a command is told.
+using reply = std::variant<std::monostate, config::change_answer, idempotency::claim_answer>;
+
+/// @brief Configuration and keys.
+struct state {
+    config::state configuration;
+    idempotency::key_table keys;
+};
+
+/// @brief Applies a command; equal commands in equal order give equal states and replies.
+[[nodiscard]] reply apply(state& target, const command& what);
+
+/// @brief Binary forms; reading throws `nlohmann::json::exception` on a wrong shape.
+[[nodiscard]] std::string encode(const command& value);
+[[nodiscard]] command decode_command(const std::string& bytes);
+[[nodiscard]] std::string encode(const reply& value);
+[[nodiscard]] reply decode_reply(const std::string& bytes);
+[[nodiscard]] std::string encode(const state& value);
+[[nodiscard]] state decode_state(const std::string& bytes);
+
+} // namespace tarragonspar::control
--- a/include/tarragonspar/runtime/caller_front.hpp
+++ b/include/tarragonspar/runtime/caller_front.hpp
@@ -6,6 +6,7 @@
 #include "tarragonspar/http/completion_api.hpp"
 #include "tarragonspar/http/exchange.hpp"
 #include "tarragonspar/runtime/coordinator.hpp"
+#include "tarragonspar/runtime/keyed_requests.hpp"
 #include "tarragonspar/runtime/snapshot.hpp"
 
 namespace tarragonspar::runtime {
@@ -13,7 +14,8 @@
 /// @brief Serves callers: completions, plain services, questions about requests.
 class caller_front {
   public:
-    caller_front(std::shared_ptr<coordinator> requests, const snapshot_cell& snapshots);
+    caller_front(std::shared_ptr<coordinator> requests, std::shared_ptr<keyed_requests> keyed,
+                 const snapshot_cell& snapshots);
 
     /// @brief Handles a request if its path belongs to callers.
     /// @return false when the path is not one of the callers' interface
@@ -49,7 +51,11 @@
     void watch_caller(http::exchange& with, const std::shared_ptr<request_record>& record,
                       std::uint64_t reader);
 
+    boost::asio::awaitable<void> run_keyed(http::exchange& with, keyed_request request,
+                                           std::optional<http::completion_request> completion);
+
     std::shared_ptr<coordinator> requests_;
+    std::shared_ptr<keyed_requests> keyed_;
     const snapshot_cell& snapshots_;
     std::atomic<bool> stopping_{false};
 };
--- a/include/tarragonspar/runtime/config_service.hpp
+++ b/include/tarragonspar/runtime/config_service.hpp
@@ -1,8 +1,6 @@
 #pragma once
 
-#include <functional>
 #include <memory>
-#include <mutex>
 #include <optional>
 
 #include <boost/asio/awaitable.hpp>
@@ -31,21 +29,4 @@
     [[nodiscard]] virtual std::shared_ptr<const config::state> current() const = 0;
 };
 
-/// @brief Configuration of a single instance, kept in memory.
-class local_config final : public config_service {
-  public:
-    using listener = std::function<void(std::shared_ptr<const config::state>)>;
-
-    local_config(config::configuration first, listener on_change);
-
-    boost::asio::awaitable<std::optional<config::change_answer>>
-    propose(config::change change) override;
-    [[nodiscard]] std::shared_ptr<const config::state> current() const override;
-
-  private:
-    mutable std::mutex mutex_;
-    std::shared_ptr<const config::state> state_;
-    listener on_change_;
-};
-
 } // namespace tarragonspar::runtime
--- /dev/null
+++ b/include/tarragonspar/runtime/control_service.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <random>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/thread_pool.hpp>
+
+#include "tarragonspar/consensus/replica.hpp"
+#include "tarragonspar/control/replica_store.hpp"
+#include "tarragonspar/control/state.hpp"
+#include "tarragonspar/runtime/config_service.hpp"
+#include "tarragonspar/settings/instance_settings.hpp"
+#include "tarragonspar/wire/node.hpp"
+
+namespace tarragonspar::runtime {
+
+/// @brief What the control service is told at its start.
+struct control_options {
+    instance_id self;
+    bool replica{false};                 ///< this instance is a control replica
+    std::string data_folder;             ///< empty: the replica's state is in memory
+    std::vector<instance_id> replicas;   ///< other instances with a control replica
+    config::configuration first;         ///< accepted as revision 1 when the group is formed
+    consensus::replica_options consensus;
+    std::size_t compact_after{512};      ///< applied entries between two snapshots
+};
+
+/// @brief Runs a control replica where the settings ask for one, and brings the accepted
+/// configuration to instances without one.
+///
+/// Everything runs on one thread of its own, since storing waits for the disk.
+class control_service final : public config_service,
+                              public std::enable_shared_from_this<control_service> {
+  public:
+    using listener = std::function<void(std::shared_ptr<const config::state>)>;
+
+    control_service(control_options options, wire::node& node, listener on_change);
+    ~control_service() override;
+
+    /// @brief Opens the disk and starts.
+    /// @return an empty string, or why the disk can't be used
+    [[nodiscard]] std::string start();
+    void stop();
+
+    boost::asio::awaitable<std::optional<config::change_answer>>
+    propose(config::change change) override;
+    [[nodiscard]] std::shared_ptr<const config::state> current() const override;
+
+    /// @brief Has a command applied by the group, through whichever replica leads.
+    /// @param done  gets the reply, or nothing when it is not known whether it was applied
+    void submit(control::command what,
+                std::function<void(std::optional<control::reply>)> done);
+
+    /// @brief Messages of another replica.
+    void on_messages(const std::string& bytes);
+
+    /// @brief A question of another instance about the control group or the configuration.
+    void on_question(wire::topic about, const std::string& payload,
+                     std::function<void(wire::answer)> reply);
+
+    /// @brief A peer knows this revision; a newer one is asked for.
+    void on_peer_revision(instance_id peer, revision newest);
+
+    /// @brief A JSON document on the replica, for operators.
+    [[nodiscard]] std::string status() const;
+
+  private:
+    struct waiting_proposal {
+        consensus::term_number term;
+        std::function<void(std::optional<control::reply>)> done;
+    };
+
+    void find_identity();
+    void on_peer_states(std::size_t asked, const std::vector<wire::answer>& answers);
+    void start_replica(std::uint32_t disk, bool founding);
+    void schedule_tick();
+    void tick();
+    void step(const consensus::event& what);
+    void carry_out(std::vector<consensus::effect>& effects);
+    bool flush();
+    void send_all(std::vector<consensus::message>& messages);
+    void on_applied(const consensus::entry& what);
+    void on_proposed(const consensus::proposed& what);
+    void restore(const std::string& data);
+    void fail(const std::string& why);
+    void compact_if_due();
+    void ask_to_join();
+    void take_join(consensus::replica_id joining);
+    void submit_here(std::string bytes, std::function<void(std::optional<std::string>)> done);
+    void submit_anywhere(std::string bytes, std::vector<instance_id> candidates, int attempts,
+                         std::function<void(std::optional<std::string>)> done);
+    void publish_configuration();
+    void take_configuration(const std::string& payload);
+    void remember_change(const config::change& accepted, revision number);
+    [[nodiscard]] std::string answer_configuration(const std::string& payload) const;
+    [[nodiscard]] std::vector<instance_id> leader_first() const;
+
+    control_options options_;
+    wire::node& node_;
+    listener on_change_;
+    boost::asio::thread_pool pool_{1};
+    boost::asio::steady_timer tick_timer_;
+    std::mt19937_64 random_;
+    std::optional<consensus::replica> replica_;
+    std::optional<control::replica_store> store_;
+    bool failed_{false};
+    bool stopped_{false};
+    control::state state_;
+    consensus::log_index applied_;
+    std::map<consensus::log_index, waiting_proposal> waiting_;
+    std::map<std::uint64_t, std::function<void(std::optional<control::reply>)>> proposing_;
+    std::uint64_t next_token_{0};
+    std::deque<std::pair<revision, config::change>> recent_;
+    std::optional<instance_id> leader_hint_;
+    bool asking_configuration_{false};
+    time_point next_join_{};
+    mutable std::mutex published_mutex_;
+    std::shared_ptr<const config::state> published_;
+};
+
+} // namespace tarragonspar::runtime
--- a/include/tarragonspar/runtime/instance.hpp
+++ b/include/tarragonspar/runtime/instance.hpp
@@ -9,7 +9,8 @@
 
 #include "tarragonspar/http/server.hpp"
 #include "tarragonspar/runtime/caller_front.hpp"
-#include "tarragonspar/runtime/config_service.hpp"
+#include "tarragonspar/runtime/clock.hpp"
+#include "tarragonspar/runtime/control_service.hpp"
 #include "tarragonspar/runtime/coordinator.hpp"
 #include "tarragonspar/runtime/forwarding.hpp"
 #include "tarragonspar/runtime/membership_service.hpp"
@@ -61,6 +62,8 @@
     void make_parts();
     void make_requests();
     void make_membership();
+    void make_control();
+    [[nodiscard]] bool is_caught_up();
     [[nodiscard]] std::shared_ptr<http::server> make_server();
     boost::asio::awaitable<void> handle(http::exchange& with);
     boost::asio::awaitable<std::string> describe_status();
@@ -83,13 +86,17 @@
     std::shared_ptr<owner> owner_;
     std::shared_ptr<coordinator> requests_;
     std::shared_ptr<membership_service> members_;
-    std::unique_ptr<config_service> configuration_;
+    std::shared_ptr<control_service> control_;
+    std::shared_ptr<keyed_requests> keyed_;
     std::unique_ptr<caller_front> callers_;
     std::unique_ptr<operator_front> operators_;
     std::shared_ptr<http::server> server_;
     std::atomic<bool> healthy_{true};
+    std::atomic<bool> caught_up_{false};
+    time_point started_at_{now()};
     std::mutex assignment_mutex_;
     std::vector<instance_id> usable_;
+    std::map<instance_id, revision> peer_revisions_; ///< in force at peers, as last heard
 };
 
 } // namespace tarragonspar::runtime
--- a/include/tarragonspar/runtime/membership_service.hpp
+++ b/include/tarragonspar/runtime/membership_service.hpp
@@ -46,6 +46,9 @@
     void on_gossip(instance_id from, wire::gossip_message message,
                    std::function<void(wire::gossip_message)> reply);
 
+    /// @brief Exchanges news with a few peers at once, because something changed here.
+    void spread();
+
     /// @brief Tells peers that this instance is leaving, and at once.
     void leave();
 
--- a/include/tarragonspar/runtime/request_record.hpp
+++ b/include/tarragonspar/runtime/request_record.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -58,6 +60,18 @@
     /// @brief The final event, if it has come.
     [[nodiscard]] std::optional<dispatch::answer_finished> finished();
 
+    /// @brief Calls `done` once the final event has come; at once if it is there already.
+    void when_finished(std::function<void()> done);
+
+    /// @brief The answer as one text, as far as it is kept.
+    struct whole_answer {
+        unsigned status{200};
+        std::string content_type;
+        std::string body;
+        bool complete{true}; ///< false: its start is no longer kept
+    };
+    [[nodiscard]] whole_answer assemble();
+
     /// @brief Tokens received so far.
     [[nodiscard]] std::uint64_t next_offset();
 
@@ -83,6 +97,7 @@
     dispatch::answer_log log_;
     signal readable_;
     signal writable_;
+    std::vector<std::function<void()>> waiting_;
     std::atomic<std::uint64_t> reader_{0};
     std::atomic<bool> attached_{false};
     std::atomic<bool> abandoned_{false};
--- a/include/tarragonspar/storage/log_file.hpp
+++ b/include/tarragonspar/storage/log_file.hpp
@@ -63,6 +63,10 @@
 /// @par Errors  `file_fault`
 boost::leaf::result<void> replace_file(const std::string& path, std::string_view content);
 
+/// @brief Puts a file in the place of another and syncs the folder.
+/// @par Errors  `file_fault`
+boost::leaf::result<void> move_file(const std::string& from, const std::string& to);
+
 /// @brief Reads a file written by `replace_file`.
 /// @return the content, or an empty string when there is no such file
 /// @par Errors  `file_fault`
--- a/include/tarragonspar/types/outcome.hpp
+++ b/include/tarragonspar/types/outcome.hpp
@@ -25,7 +25,8 @@
     server_lost,      ///< the backend server went away after dispatch
     answer_corrupted, ///< the backend server broke its own protocol after dispatch
     issuer_lost,      ///< the incarnation that could tell what became of the key is gone
-    no_lease,         ///< no lease for the key's partition is held here at the moment
+    no_quorum,        ///< the key could not be claimed: no majority of the control group answers
+    catching_up,      ///< the instance has just started and does not know the configuration yet
 };
 
 /// @brief Stable names for logs, metrics and problem documents.
@@ -66,10 +67,12 @@
         return "answer_corrupted";
     case reason::issuer_lost:
         return "issuer_lost";
-    case reason::no_lease:
+    case reason::no_quorum:
+        return "no_quorum";
+    case reason::catching_up:
         break;
     }
-    return "no_lease";
+    return "catching_up";
 }
 
 } // namespace tarragonspar
--- a/include/tarragonspar/wire/node.hpp
+++ b/include/tarragonspar/wire/node.hpp
@@ -18,6 +18,7 @@
     settings::tls_files tls;
     std::chrono::milliseconds connect_timeout{500};
     std::chrono::milliseconds call_timeout{1'000};  ///< of short calls
+    std::chrono::milliseconds run_timeout{35'000};  ///< of questions that wait for a request's end
     std::chrono::milliseconds heartbeat{500};       ///< on connections with requests under way
     std::chrono::milliseconds silence_timeout{3'000}; ///< before a peer's requests count as lost
 };
--- /dev/null
+++ b/src/control/state.cpp
@@ -0,0 +1,80 @@
+#include "tarragonspar/control/state.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace tarragonspar::control {
+
+namespace {
+
+using nlohmann::json;
+
+std::string to_bytes(const json& value) {
+    std::string out;
+    json::to_cbor(value, out);
+    return out;
+}
+
+} // namespace
+
+reply apply(state& target, const command& what) {
+    if (const auto* change = std::get_if<config::change>(&what)) {
+        return config::apply(target.configuration, *change);
+    }
+    if (const auto* wanted = std::get_if<idempotency::claim>(&what)) {
+        return idempotency::apply(target.keys, *wanted);
+    }
+    idempotency::apply(target.keys, std::get<idempotency::settlement>(what));
+    return std::monostate{};
+}
+
+std::string encode(const command& value) {
+    json out = json::array({value.index()});
+    std::visit([&](const auto& specific) { out.push_back(specific); }, value);
+    return to_bytes(out);
+}
+
+command decode_command(const std::string& bytes) {
+    const auto in = json::from_cbor(bytes);
+    switch (in.at(0).get<std::size_t>()) {
+    case 0:
+        return in.at(1).get<config::change>();
+    case 1:
+        return in.at(1).get<idempotency::claim>();
+    default:
+        return in.at(1).get<idempotency::settlement>();
+    }
+}
+
+std::string encode(const reply& value) {
+    json out = json::array({value.index()});
+    if (const auto* answer = std::get_if<config::change_answer>(&value)) {
+        out.push_back(*answer);
+    } else if (const auto* claimed = std::get_if<idempotency::claim_answer>(&value)) {
+        out.push_back(*claimed);
+    }
+    return to_bytes(out);
+}
+
+reply decode_reply(const std::string& bytes) {
+    const auto in = json::from_cbor(bytes);
+    switch (in.at(0).get<std::size_t>()) {
+    case 0:
+        return std::monostate{};
+    case 1:
+        return in.at(1).get<config::change_answer>();
+    default:
+        return in.at(1).get<idempotency::claim_answer>();
+    }
+}
+
+std::string encode(const state& value) {
+    return to_bytes(json::array({value.configuration, value.keys}));
+}
+
+state decode_state(const std::string& bytes) {
+    const auto in = json::from_cbor(bytes);
+    return {.configuration = in.at(0).get<config::state>(),
+            .keys = in.at(1).get<idempotency::key_table>()};
+}
+
+} // namespace tarragonspar::control
--- a/src/runtime/caller_front.cpp
+++ b/src/runtime/caller_front.cpp
@@ -59,8 +59,9 @@
 
 } // namespace
 
-caller_front::caller_front(std::shared_ptr<coordinator> requests, const snapshot_cell& snapshots)
-    : requests_(std::move(requests)), snapshots_(snapshots) {}
+caller_front::caller_front(std::shared_ptr<coordinator> requests,
+                           std::shared_ptr<keyed_requests> keyed, const snapshot_cell& snapshots)
+    : requests_(std::move(requests)), keyed_(std::move(keyed)), snapshots_(snapshots) {}
 
 asio::awaitable<bool> caller_front::handle(http::exchange& with) {
     const auto target = path_of(with);
@@ -75,6 +76,10 @@
         http::reply out;
         out.body = http::format_models(current->models);
         co_await with.respond(std::move(out));
+    } else if (target == "/v1/keys" && is_post) {
+        http::reply out;
+        out.body = nlohmann::json{{"key", keyed_->issue()}}.dump();
+        co_await with.respond(std::move(out));
     } else if (target == "/v1/chat/completions" || target == "/v1/completions") {
         if (!is_post) {
             co_await with.respond(http::format_rejection(405, "use POST"));
@@ -149,12 +154,26 @@
     work.max_output = {request.max_tokens == 0
                            ? choice.profile->max_output_tokens
                            : std::min(request.max_tokens, choice.profile->max_output_tokens)};
-    work.blocks = hash_blocks(request.prompt);
     dispatch::call_body call;
     call.method = "POST";
     call.target = path_of(with);
     call.content_type = "application/json";
     call.body = with.request().body();
+    if (auto key = with.header(http::idempotency_header); !key.empty()) {
+        keyed_request keyed;
+        keyed.key = std::move(key);
+        keyed.profile = choice.profile->name;
+        keyed.workspace = choice.workspace;
+        keyed.model = request.model;
+        keyed.call = std::move(call);
+        keyed.prompt = work.prompt;
+        keyed.max_output = work.max_output;
+        keyed.prompt_text = request.prompt;
+        std::optional<http::completion_request> completion(request);
+        co_await run_keyed(with, std::move(keyed), std::move(completion));
+        co_return;
+    }
+    work.blocks = hash_blocks(request.prompt);
     const auto record = requests_->submit(std::move(work), std::move(call), choice.profile->name,
                                           choice.workspace);
     if (request.stream) {
@@ -217,6 +236,8 @@
     for (std::uint64_t position = 0;; ++position) {
         auto event = co_await record->read(reader, position);
         if (!event) {
+            auto displaced = http::format_error(409, "another connection took over this request");
+            co_await with.respond(std::move(displaced));
             co_return;
         }
         if (const auto* start = std::get_if<answer_started>(&*event)) {
@@ -261,11 +282,53 @@
     call.target = rest;
     call.content_type = with.header("Content-Type");
     call.body = with.request().body();
+    if (auto key = with.header(http::idempotency_header); !key.empty()) {
+        keyed_request keyed;
+        keyed.key = std::move(key);
+        keyed.profile = choice.profile->name;
+        keyed.workspace = choice.workspace;
+        keyed.model = service;
+        keyed.call = std::move(call);
+        keyed.max_output = work.max_output;
+        std::optional<http::completion_request> none;
+        co_await run_keyed(with, std::move(keyed), std::move(none));
+        co_return;
+    }
     const auto record = requests_->submit(std::move(work), std::move(call), choice.profile->name,
                                           choice.workspace);
     co_await relay_service(with, record);
 }
 
+asio::awaitable<void>
+caller_front::run_keyed(http::exchange& with, keyed_request request,
+                        std::optional<http::completion_request> completion) {
+    auto answer = co_await keyed_->run(std::move(request));
+    http::reply out;
+    if (answer.key_differs) {
+        out = http::format_rejection(422, "this key was used with another request");
+    } else if (answer.result != outcome::answered) {
+        answer_finished last;
+        last.result = answer.result;
+        last.why = answer.why;
+        last.retry_after = answer.retry_after;
+        out = http::format_problem(answer.request_id, last);
+    } else if (!answer.complete) {
+        out = http::format_error(410, "the request was answered, and its answer is not kept");
+        out.headers.emplace_back(http::outcome_header, "answered");
+        out.headers.emplace_back(http::request_id_header, answer.request_id);
+    } else {
+        out.status = answer.status;
+        out.content_type = completion ? "application/json" : answer.content_type;
+        out.headers = answer_headers(answer.request_id);
+        out.headers.emplace_back(http::outcome_header, "answered");
+        out.body = completion && answer.status == 200
+                       ? http::format_whole(*completion, answer.request_id, answer.body,
+                                            answer.finished)
+                       : std::move(answer.body);
+    }
+    co_await with.respond(std::move(out));
+}
+
 asio::awaitable<void> caller_front::relay_service(http::exchange& with,
                                                   std::shared_ptr<request_record> record) {
     const auto id = to_string(record->work.id);
@@ -276,6 +339,8 @@
     for (std::uint64_t position = 0;; ++position) {
         auto event = co_await record->read(reader, position);
         if (!event) {
+            auto displaced = http::format_error(409, "another connection took over this request");
+            co_await with.respond(std::move(displaced));
             co_return;
         }
         if (const auto* start = std::get_if<answer_started>(&*event)) {
--- a/src/runtime/instance.cpp
+++ b/src/runtime/instance.cpp
@@ -1,5 +1,6 @@
 #include "tarragonspar/runtime/instance.hpp"
 
+#include <algorithm>
 #include <set>
 
 #include <glog/logging.h>
@@ -19,6 +20,9 @@
 /// Pause between two looks at whether the last request has ended.
 constexpr auto drain_poll = std::chrono::milliseconds{20};
 
+/// Time after which an instance that hears from nobody serves with what it knows.
+constexpr duration lonely_start = std::chrono::seconds{3};
+
 /// A number that is higher at every start of this process, as long as the clock is not set back
 /// by more than the time between two starts.
 incarnation make_incarnation() {
@@ -69,6 +73,9 @@
             thread.join();
         }
     }
+    if (control_) {
+        control_->stop();
+    }
     if (node_) {
         node_->stop();
     }
@@ -79,17 +86,15 @@
                                          static_cast<wire::handler&>(*this));
     make_requests();
     make_membership();
-    configuration_ = std::make_unique<local_config>(
-        settings_.configuration,
-        [this](std::shared_ptr<const config::state> state) { on_configuration(std::move(state)); });
+    make_control();
     operator_front::hooks uses;
     uses.status = [this] { return describe_status(); };
     if (settings_.test_hooks) {
         uses.cut_off = [this](std::set<instance_id> peers) { node_->cut_off(std::move(peers)); };
     }
-    operators_ = std::make_unique<operator_front>(*configuration_, settings_.operator_tokens,
+    operators_ = std::make_unique<operator_front>(*control_, settings_.operator_tokens,
                                                   std::move(uses));
-    callers_ = std::make_unique<caller_front>(requests_, snapshots_);
+    callers_ = std::make_unique<caller_front>(requests_, keyed_, snapshots_);
 }
 
 void instance::make_requests() {
@@ -121,12 +126,17 @@
     uses.own_news = [this](auto use) {
         owner_->with_digest([this, use = std::move(use)](std::vector<routing::model_digest> own) {
             requests_->set_digest(settings_.id, own);
-            use(std::move(own), configuration_->current()->current.number);
+            use(std::move(own), control_->current()->current.number);
         });
     };
     uses.on_news = [this](instance_id from, const wire::gossip_message& message) {
         requests_->set_digest(from, message.digest);
         owner_->set_peer_digest(from, message.digest);
+        {
+            const std::lock_guard lock(assignment_mutex_);
+            peer_revisions_[from] = message.newest;
+        }
+        control_->on_peer_revision(from, message.newest);
     };
     uses.on_change = [this](std::vector<instance_id> usable) { on_members(std::move(usable)); };
     members_ = std::make_shared<membership_service>(
@@ -135,6 +145,42 @@
         std::move(uses));
 }
 
+void instance::make_control() {
+    control_options options;
+    options.self = settings_.id;
+    options.data_folder = settings_.data_folder;
+    options.first = settings_.configuration;
+    for (const auto& peer : settings_.peers) {
+        if (peer.control) {
+            options.replicas.push_back(peer.id);
+        }
+    }
+    // Without any control replica in the settings, this instance is a group of its own.
+    options.replica = settings_.control || options.replicas.empty();
+    control_ = std::make_shared<control_service>(
+        std::move(options), *node_,
+        [this](std::shared_ptr<const config::state> state) { on_configuration(std::move(state)); });
+    keyed_ = std::make_shared<keyed_requests>(requests_, control_, *node_, snapshots_,
+                                              settings_.id, started_as_);
+}
+
+bool instance::is_caught_up() {
+    if (caught_up_) {
+        return true;
+    }
+    const auto own = control_->current()->current.number;
+    const std::lock_guard lock(assignment_mutex_);
+    const auto waited = now() - started_at_ > lonely_start;
+    if (peer_revisions_.empty() && !settings_.peers.empty() && !waited) {
+        return false;
+    }
+    const auto current =
+        std::all_of(peer_revisions_.begin(), peer_revisions_.end(),
+                    [&](const auto& item) { return item.second <= own; });
+    caught_up_ = current;
+    return current;
+}
+
 std::shared_ptr<http::server> instance::make_server() {
     http::server_options options;
     options.listen = settings_.http;
@@ -158,6 +204,9 @@
         return std::string("the address for callers: ") + error.what();
     }
     on_members({settings_.id});
+    if (auto fault = control_->start(); !fault.empty()) {
+        return "the data folder: " + fault;
+    }
     owner_->start();
     members_->start();
     server_->start();
@@ -223,9 +272,12 @@
     const auto view = with.request().target();
     const std::string target(view.data(), view.size());
     if (target == "/health") {
+        const bool ready = healthy_ && is_caught_up();
         http::reply out;
-        out.status = healthy_ ? 200 : 503;
-        out.body = healthy_ ? R"({"state":"ready"})" : R"({"state":"leaving"})";
+        out.status = ready ? 200 : 503;
+        out.body = ready      ? R"({"state":"ready"})"
+                   : healthy_ ? R"({"state":"catching up"})"
+                              : R"({"state":"leaving"})";
         co_await with.respond(std::move(out));
         co_return;
     }
@@ -237,6 +289,16 @@
         co_return;
     }
     bool handled = co_await operators_->handle(with);
+    if (!handled && !is_caught_up()) {
+        // A configuration older than what was in force before a restart must not be acted on.
+        dispatch::answer_finished refused;
+        refused.result = outcome::not_executed;
+        refused.why = reason::catching_up;
+        refused.retry_after = std::chrono::seconds{1};
+        auto problem = http::format_problem("", refused);
+        co_await with.respond(std::move(problem));
+        co_return;
+    }
     if (!handled) {
         handled = co_await callers_->handle(with);
     }
@@ -254,9 +316,18 @@
         members_->with_view([reply](const membership::view& view) { reply(list_members(view)); });
     };
     auto members = co_await await_reply<nlohmann::json>(std::move(ask_members));
+    auto in_force = nlohmann::json::object();
+    {
+        const std::lock_guard lock(assignment_mutex_);
+        for (const auto& [id, number] : peer_revisions_) {
+            in_force[std::to_string(id.value)] = number.value;
+        }
+    }
+    in_force[std::to_string(settings_.id.value)] = control_->current()->current.number.value;
     nlohmann::json out{{"instance", settings_.id.value},
+                       {"in_force", std::move(in_force)},
                        {"failure_domain", settings_.failure_domain},
-                       {"revision", configuration_->current()->current.number.value},
+                       {"revision", control_->current()->current.number.value},
                        {"open_requests", requests_->open_requests()},
                        {"connections", server_->connections()},
                        {"members", std::move(members)},
@@ -268,6 +339,7 @@
     snapshots_.store(make_snapshot(state->current));
     metrics_.set_revision(state->current.number.value);
     assign_servers();
+    members_->spread();
 }
 
 void instance::on_members(std::vector<instance_id> usable) {
@@ -415,15 +487,17 @@
 
 void instance::on_consensus(instance_id from, std::string messages) {
     (void)from;
-    (void)messages;
+    control_->on_messages(messages);
 }
 
 void instance::on_question(instance_id from, wire::topic about, std::string payload,
                            std::function<void(wire::answer)> reply) {
     (void)from;
-    (void)about;
-    (void)payload;
-    reply({});
+    if (about == wire::topic::key || about == wire::topic::request) {
+        keyed_->on_question(about, payload, std::move(reply));
+    } else {
+        control_->on_question(about, payload, std::move(reply));
+    }
 }
 
 } // namespace tarragonspar::runtime
--- a/src/runtime/membership_service.cpp
+++ b/src/runtime/membership_service.cpp
@@ -10,6 +10,8 @@
 
 /// Other peers asked whether they can reach one that did not answer.
 constexpr std::size_t max_probes = 2;
+/// Peers told of a change at once.
+constexpr std::size_t spread_width = 4;
 
 } // namespace
 
@@ -132,6 +134,16 @@
     });
 }
 
+void membership_service::spread() {
+    asio::post(strand_, [self = shared_from_this()] {
+        for (std::size_t i = 0; i < spread_width; ++i) {
+            if (const auto target = membership::next_target(self->view_, self->random_)) {
+                self->exchange_with(*target);
+            }
+        }
+    });
+}
+
 void membership_service::leave() {
     asio::post(strand_, [self = shared_from_this()] {
         membership::announce_leaving(self->view_);
--- a/src/runtime/request_record.cpp
+++ b/src/runtime/request_record.cpp
@@ -28,11 +28,50 @@
     if (std::holds_alternative<dispatch::answer_piece>(event) && first_token_at == 0) {
         first_token_at = now().time_since_epoch().count();
     }
+    std::vector<std::function<void()>> finished;
     {
         const std::lock_guard lock(mutex_);
         log_.append(std::move(event));
+        if (log_.finished() != nullptr) {
+            finished.swap(waiting_);
+        }
     }
     notify(readable_);
+    for (const auto& done : finished) {
+        done();
+    }
+}
+
+void request_record::when_finished(std::function<void()> done) {
+    {
+        const std::lock_guard lock(mutex_);
+        if (log_.finished() == nullptr) {
+            waiting_.push_back(std::move(done));
+            return;
+        }
+    }
+    done();
+}
+
+request_record::whole_answer request_record::assemble() {
+    const std::lock_guard lock(mutex_);
+    whole_answer out;
+    if (const auto* start = log_.started()) {
+        out.status = start->status;
+        out.content_type = start->content_type;
+    }
+    const auto first = log_.position_of(0);
+    out.complete = first.has_value();
+    for (auto at = first.value_or(0); out.complete; ++at) {
+        const auto* event = log_.at(at);
+        if (event == nullptr) {
+            break;
+        }
+        if (const auto* piece = std::get_if<dispatch::answer_piece>(event)) {
+            out.body += piece->text;
+        }
+    }
+    return out;
 }
 
 asio::awaitable<bool> request_record::append(dispatch::answer_event event) {
--- a/src/settings/instance_settings.cpp
+++ b/src/settings/instance_settings.cpp
@@ -101,6 +101,12 @@
         }
         replicas += item.control ? 1 : 0;
     }
+    const auto alone = replicas == (value.control ? 1U : 0U);
+    if (value.control && !alone && value.data_folder.empty()) {
+        faults.push_back({.path = "data_folder",
+                          .expected = "a folder, since one of several control replicas must keep "
+                                      "its votes"});
+    }
     constexpr std::size_t max_replicas = 7;
     if (replicas > max_replicas) {
         faults.push_back({.path = "peers", .expected = "at most 7 instances with control"});
--- a/src/storage/log_file.cpp
+++ b/src/storage/log_file.cpp
@@ -259,10 +259,14 @@
         ::unlink(temporary.c_str());
         return written.error();
     }
-    if (::rename(temporary.c_str(), path.c_str()) != 0) {
-        return system_fault(path, 0);
+    return move_file(temporary, path);
+}
+
+leaf::result<void> move_file(const std::string& from, const std::string& to) {
+    if (::rename(from.c_str(), to.c_str()) != 0) {
+        return system_fault(to, 0);
     }
-    return sync_folder(path);
+    return sync_folder(to);
 }
 
 leaf::result<std::string> read_file(const std::string& path) {
--- a/src/wire/instance_server.cpp
+++ b/src/wire/instance_server.cpp
@@ -74,7 +74,7 @@
         break;
     }
     const auto refused = in.getRefused();
-    const auto why = refused.getReason() <= static_cast<std::uint8_t>(reason::no_lease)
+    const auto why = refused.getReason() <= static_cast<std::uint8_t>(reason::catching_up)
                          ? static_cast<reason>(refused.getReason())
                          : reason::overloaded;
     return dispatch::refuse{.why = why, .retry_after = duration{refused.getRetryAfterUs()}};
--- a/src/wire/loop.cpp
+++ b/src/wire/loop.cpp
@@ -202,7 +202,11 @@
 }
 
 kj::Promise<void> node::loop::bounded(kj::Promise<void>&& call) {
-    return io_->provider->getTimer().timeoutAfter(to_kj(options_.call_timeout), kj::mv(call));
+    return bounded(kj::mv(call), options_.call_timeout);
+}
+
+kj::Promise<void> node::loop::bounded(kj::Promise<void>&& call, std::chrono::milliseconds limit) {
+    return io_->provider->getTimer().timeoutAfter(to_kj(limit), kj::mv(call));
 }
 
 // --- connections ---
@@ -444,7 +448,9 @@
                                     .payload = {reinterpret_cast<const char*>(payload_in.begin()),
                                                 payload_in.size()}});
                     });
-                return bounded(kj::mv(call)).attach(kj::mv(connection));
+                const auto waits = about == topic::key || about == topic::request;
+                const auto limit = waits ? options_.run_timeout : options_.call_timeout;
+                return bounded(kj::mv(call), limit).attach(kj::mv(connection));
             })
             .catch_([done](kj::Exception&&) { done(std::nullopt); });
     run_task(kj::mv(task));
--- a/src/wire/loop.hpp
+++ b/src/wire/loop.hpp
@@ -106,6 +106,7 @@
     void keep_alive(instance_id peer);
     kj::Promise<void> watch_silence();
     kj::Promise<void> bounded(kj::Promise<void>&& call);
+    kj::Promise<void> bounded(kj::Promise<void>&& call, std::chrono::milliseconds limit);
     void run_task(kj::Promise<void>&& task);
 
     node_options options_;
