Process tests for requests, keys and control; broken connections are dropped

Cause, found by the new tests: closing a dead connection threw before the link was cleared, so consensus messages went into it for ever; a resend that met a claim under way was told unknown; a too large body was answered by a reset. Change: the link is cleared first and every call drops a connection that is gone; questions wait for a claim under way; refused bodies are read on for a moment.

--- a/include/tarragonspar/http/detail/session.hpp
+++ b/include/tarragonspar/http/detail/session.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <atomic>
 #include <memory>
 
@@ -21,6 +22,11 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 
+/// Time for which a refused request is read on.
+constexpr auto linger_time = std::chrono::seconds{2};
+/// Bytes of a refused request that are read on.
+constexpr std::size_t max_discarded_bytes = 64 * 1024 * 1024;
+
 /// @brief One connection of a caller, over plain TCP or TLS.
 /// @tparam Stream  a `beast::tcp_stream` or an SSL stream above one
 template <class Stream>
@@ -155,6 +161,25 @@
         problem.body = R"({"title":"malformed request","detail":")" + error.message() +
                        R"(","outcome":"not_executed"})";
         co_await respond(std::move(problem));
+        co_await discard_rest();
+    }
+
+    /// Reads on for a moment, so that a caller still sending gets to see the refusal instead of a
+    /// reset connection.
+    asio::awaitable<void> discard_rest() {
+        auto& socket = beast::get_lowest_layer(stream_);
+        beast::error_code ignored;
+        socket.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        socket.expires_after(linger_time);
+        std::array<char, 16 * 1024> bytes{};
+        for (std::size_t total = 0; total < max_discarded_bytes;) {
+            const auto [error, size] =
+                co_await socket.async_read_some(asio::buffer(bytes), as_result);
+            if (error) {
+                break;
+            }
+            total += size;
+        }
     }
 
     void decide_keep_alive() {
--- a/include/tarragonspar/runtime/keyed_requests.hpp
+++ b/include/tarragonspar/runtime/keyed_requests.hpp
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "tarragonspar/http/exchange.hpp"
 #include "tarragonspar/runtime/control_service.hpp"
@@ -80,6 +81,9 @@
     std::shared_ptr<request_record> start(const keyed_request& request, request_id id);
     void settle(const std::string& key, const keyed_answer& answer, request_id id);
     void abandon(request_id id);
+    void end_claiming(request_id id);
+    void tell_fate(request_id id, const std::string& key,
+                   std::function<void(const keyed_answer&)> tell);
 
     std::shared_ptr<coordinator> requests_;
     std::shared_ptr<control_service> control_;
@@ -90,6 +94,8 @@
     std::mutex mutex_;
     std::unordered_map<request_id, issued_key> issued_;
     std::deque<request_id> issued_order_;
+    /// Claims under way, with those who ask what becomes of them.
+    std::unordered_map<request_id, std::vector<std::function<void()>>> claiming_;
     std::set<request_id> abandoned_; ///< claimed perhaps, but never to be dispatched
 };
 
--- a/src/runtime/keyed_requests.cpp
+++ b/src/runtime/keyed_requests.cpp
@@ -275,16 +275,25 @@
                                     .digest = digest_of(request.call),
                                     .request = id,
                                     .at_ms = wall_ms()};
+    {
+        const std::lock_guard lock(mutex_);
+        claiming_.try_emplace(id);
+    }
     std::function<void(std::function<void(std::optional<control::reply>)>)> begin =
         [this, wanted](auto done) { control_->submit(wanted, std::move(done)); };
     const auto reply = co_await await_reply<std::optional<control::reply>>(std::move(begin));
     if (!reply) {
         abandon(id);
+        end_claiming(id);
         co_return refuse_keyed(outcome::not_executed, reason::no_quorum, id);
     }
     const auto& claimed = std::get<idempotency::claim_answer>(*reply);
     // A claim that was sent twice may be answered as held by its own request.
     const auto is_own = claimed.record.request == id;
+    const auto may_run = claimed.result == idempotency::claim_result::granted || is_own;
+    if (!may_run) {
+        end_claiming(id);
+    }
     switch (claimed.result) {
     case idempotency::claim_result::full:
         co_return refuse_keyed(outcome::not_executed, reason::overloaded, id);
@@ -303,6 +312,7 @@
         break;
     }
     const auto record = start(request, id);
+    end_claiming(id);
     if (!record) {
         auto answer = refuse_keyed(outcome::not_executed, reason::no_server, id);
         settle(wanted.key, answer, id);
@@ -352,6 +362,22 @@
     control_->submit(std::move(what), [](std::optional<control::reply>) {});
 }
 
+void keyed_requests::end_claiming(request_id id) {
+    std::vector<std::function<void()>> asking;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = claiming_.find(id);
+        if (found == claiming_.end()) {
+            return;
+        }
+        asking = std::move(found->second);
+        claiming_.erase(found);
+    }
+    for (const auto& ask : asking) {
+        ask();
+    }
+}
+
 void keyed_requests::abandon(request_id id) {
     const std::lock_guard lock(mutex_);
     abandoned_.insert(id);
@@ -386,20 +412,30 @@
         use_issued(*request, *id, tell);
         return;
     }
+    tell_fate(*id, key, tell);
+}
+
+void keyed_requests::tell_fate(request_id id, const std::string& key,
+                               std::function<void(const keyed_answer&)> tell) {
     bool never_runs = false;
     {
         const std::lock_guard lock(mutex_);
-        never_runs = abandoned_.contains(*id);
+        const auto claiming = claiming_.find(id);
+        if (claiming != claiming_.end()) {
+            claiming->second.emplace_back([this, id, key, tell] { tell_fate(id, key, tell); });
+            return;
+        }
+        never_runs = abandoned_.contains(id);
     }
     if (never_runs) {
-        const auto answer = refuse_keyed(outcome::not_executed, reason::no_quorum, *id);
-        settle(key, answer, *id);
+        const auto answer = refuse_keyed(outcome::not_executed, reason::no_quorum, id);
+        settle(key, answer, id);
         tell(answer);
         return;
     }
-    const auto record = requests_->find(*id);
+    const auto record = requests_->find(id);
     if (!record) {
-        tell(refuse_keyed(outcome::unknown, reason::issuer_lost, *id));
+        tell(refuse_keyed(outcome::unknown, reason::issuer_lost, id));
         return;
     }
     record->when_finished([record, tell] { tell(answer_of(*record)); });
--- a/src/wire/loop.cpp
+++ b/src/wire/loop.cpp
@@ -263,16 +263,31 @@
 void node::loop::drop(instance_id peer, const outbound_connection& broken) {
     auto& link = links_.at(peer);
     KJ_IF_MAYBE (open, link.connection) {
-        if (open->get() == &broken) {
-            // Closing now would destroy promises that are running.
-            (*open)->stream->abortRead();
-            (*open)->stream->shutdownWrite();
-            run_task(kj::evalLater([old = kj::mv(*open)]() mutable { old = nullptr; }));
-            link.connection = nullptr;
+        if (open->get() != &broken) {
+            return;
         }
+        auto old = kj::mv(*open);
+        link.connection = nullptr;
+        // Ends calls that are still under way; fails on a socket that is closed already.
+        const auto failed = kj::runCatchingExceptions([&]() {
+            old->stream->abortRead();
+            old->stream->shutdownWrite();
+        });
+        // Destroying it now would destroy promises that are running.
+        run_task(kj::evalLater([last = kj::mv(old)]() mutable { last = nullptr; }));
     }
 }
 
+kj::Promise<void> node::loop::dropping(kj::Promise<void>&& call, instance_id peer,
+                                       const outbound_connection& over) {
+    return call.catch_([this, peer, &over](kj::Exception&& error) {
+        if (error.getType() == kj::Exception::Type::DISCONNECTED) {
+            drop(peer, over);
+        }
+        kj::throwRecoverableException(kj::mv(error));
+    });
+}
+
 void node::loop::keep_alive(instance_id peer) {
     auto& link = links_.at(peer);
     KJ_IF_MAYBE (open, link.connection) {
@@ -422,12 +437,15 @@
 }
 
 void node::loop::send_consensus(instance_id peer, const std::string& messages) {
-    run_task(connect(peer).then([this, messages](kj::Own<outbound_connection>&& connection) {
+    run_task(connect(peer).then([this, peer,
+                                 messages](kj::Own<outbound_connection>&& connection) {
         auto request = connection->instance.consensusRequest();
         request.setFrom(options_.self.value);
         request.setMessages({reinterpret_cast<const capnp::byte*>(messages.data()),
                              messages.size()});
-        return bounded(request.send().ignoreResult()).attach(kj::mv(connection));
+        const auto& over = *connection;
+        return dropping(bounded(request.send().ignoreResult()), peer, over)
+            .attach(kj::mv(connection));
     }));
 }
 
@@ -435,7 +453,7 @@
                      std::function<void(std::optional<answer>)> done) {
     auto task =
         connect(peer)
-            .then([this, about, payload, done](kj::Own<outbound_connection>&& connection) {
+            .then([this, peer, about, payload, done](kj::Own<outbound_connection>&& connection) {
                 auto request = connection->instance.askRequest();
                 request.setFrom(options_.self.value);
                 request.setTopic(static_cast<std::uint8_t>(about));
@@ -450,7 +468,9 @@
                     });
                 const auto waits = about == topic::key || about == topic::request;
                 const auto limit = waits ? options_.run_timeout : options_.call_timeout;
-                return bounded(kj::mv(call), limit).attach(kj::mv(connection));
+                const auto& over = *connection;
+                return dropping(bounded(kj::mv(call), limit), peer, over)
+                    .attach(kj::mv(connection));
             })
             .catch_([done](kj::Exception&&) { done(std::nullopt); });
     run_task(kj::mv(task));
--- a/src/wire/loop.hpp
+++ b/src/wire/loop.hpp
@@ -103,6 +103,9 @@
     kj::Promise<kj::Own<outbound_connection>> connect(instance_id peer);
     kj::Promise<void> open_connection(instance_id peer, peer_link& link);
     void drop(instance_id peer, const outbound_connection& broken);
+    /// Closes the connection if the call fails because the peer is gone.
+    kj::Promise<void> dropping(kj::Promise<void>&& call, instance_id peer,
+                               const outbound_connection& over);
     void keep_alive(instance_id peer);
     kj::Promise<void> watch_silence();
     kj::Promise<void> bounded(kj::Promise<void>&& call);
--- /dev/null
+++ b/tests/unit-system-control.cpp
@@ -0,0 +1,174 @@
+// Configuration and keys across whole instances: races, resends, restarts, lost disks, partitions.
+
+#include <gtest/gtest.h>
+
+#include "system_fixture.hpp"
+
+namespace {
+
+using namespace tarragonspar;
+using namespace tarragonspar::testing;
+using nlohmann::json;
+
+std::string profile_change(const std::string& id, const std::string& name, int urgency,
+                           std::optional<std::uint64_t> expected = std::nullopt) {
+    json change{{"id", id},
+                {"author", "amal"},
+                {"put_profile", {{"name", name}, {"tier", urgency}, {"deadline_ms", 9000}}}};
+    if (expected) {
+        change["expected"] = *expected;
+    }
+    return change.dump();
+}
+
+caller_result publish(const deployment& d, std::size_t index, const std::string& change) {
+    return call(d.port(index), "POST", "/admin/changes", change);
+}
+
+bool all_have(const deployment& d, std::size_t count, std::uint64_t revision) {
+    for (std::size_t i = 0; i < count; ++i) {
+        if (d.revision_at(i) != revision) {
+            return false;
+        }
+    }
+    return true;
+}
+
+const std::map<std::string, std::string> booking{{"Tarragon-Profile", "booking"},
+                                                 {"Idempotency-Key", "k"}};
+
+} // namespace
+
+TEST(SystemControl, AChangeIsInForceEverywhereThroughWhicheverInstanceItCame) {
+    deployment d({"a", "b", "c", "c"}, 3);
+    d.start();
+    const auto answer = publish(d, 3, profile_change("c1", "new", 2, 1));
+    ASSERT_EQ(answer.status, 200U) << answer.body;
+    EXPECT_TRUE(wait_until([&] { return all_have(d, 4, 2); }));
+}
+
+TEST(SystemControl, OfTwoRacingOperatorsOneIsAcceptedAndResendsGetTheFirstAnswer) {
+    deployment d({"a", "b", "c"}, 3);
+    d.start();
+    const auto results = call_together({
+        [&] { return publish(d, 0, profile_change("x", "p", 1, 1)); },
+        [&] { return publish(d, 1, profile_change("y", "p", 2, 1)); },
+    });
+    const auto accepted = (results[0].status == 200 ? 1 : 0) + (results[1].status == 200 ? 1 : 0);
+    EXPECT_EQ(accepted, 1) << results[0].body << results[1].body;
+    EXPECT_EQ(results[0].status + results[1].status, 200U + 409U);
+    const auto again = publish(d, 2, profile_change("x", "p", 1, 1));
+    EXPECT_EQ(again.body, results[0].body);
+}
+
+TEST(SystemControl, TheConfigurationSurvivesARestartOfEveryInstance) {
+    deployment d({"a", "b", "c"}, 3);
+    d.start();
+    for (int i = 0; i < 5; ++i) {
+        ASSERT_EQ(publish(d, 0, profile_change("c" + std::to_string(i), "p", 1)).status, 200U);
+    }
+    for (std::size_t i = 0; i < 3; ++i) {
+        d.kill(i);
+    }
+    d.start();
+    EXPECT_TRUE(wait_until([&] { return all_have(d, 3, 6); }));
+    const auto again = publish(d, 1, profile_change("c0", "p", 1));
+    EXPECT_NE(again.body.find("\"revision\":2"), std::string::npos)
+        << "a resend after the restart gets the first answer: " << again.body;
+}
+
+TEST(SystemControl, AnInstanceThatMissedHundredsOfChangesCatchesUpBeforeItServes) {
+    deployment d({"a", "b"}, 1);
+    d.add_server("a", "m", false);
+    d.start();
+    d.kill(1);
+    for (int i = 0; i < 300; ++i) {
+        ASSERT_EQ(publish(d, 0, profile_change("c" + std::to_string(i), "p", i % 4)).status, 200U);
+    }
+    d.start(1);
+    ASSERT_TRUE(wait_until([&] { return call(d.port(1), "GET", "/health").status == 200; }));
+    EXPECT_EQ(d.revision_at(1), 301U) << "it must not call itself ready before it has caught up";
+}
+
+TEST(SystemControl, AReplicaThatLostItsDiskComesBackAndASecondLossAfterwardsLosesNothing) {
+    deployment d({"a", "b", "c"}, 3);
+    d.start();
+    ASSERT_EQ(publish(d, 0, profile_change("c0", "p", 1)).status, 200U);
+    d.kill(1);
+    d.lose_disk(1);
+    d.start(1);
+    ASSERT_TRUE(wait_until([&] { return d.revision_at(1) == 2; }));
+    // The replacement counts only once it is a voter: then the group survives another loss.
+    ASSERT_TRUE(wait_until([&] {
+        return publish(d, 2, profile_change("c1", "p", 2)).status == 200;
+    }));
+    std::this_thread::sleep_for(std::chrono::seconds{3});
+    d.kill(0);
+    ASSERT_TRUE(wait_until([&] {
+        return publish(d, 2, profile_change("c2", "p", 3)).status == 200;
+    }));
+    EXPECT_TRUE(wait_until([&] { return d.revision_at(1) == 4 && d.revision_at(2) == 4; }));
+}
+
+TEST(SystemControl, ACutOffDomainServesWithItsConfigurationAndClaimsNoKeys) {
+    deployment d({"a", "b", "c"}, 3);
+    auto& home = d.add_server("c", "m", false);
+    auto& desk = d.add_server("c", "desk", true);
+    d.add_server("a", "m", false);
+    d.start();
+    d.part({{0, 1}, {2}});
+    ASSERT_TRUE(wait_until([&] {
+        return publish(d, 0, profile_change("c0", "p", 1)).status == 200;
+    }));
+    const std::map<std::string, std::string> fast{{"Tarragon-Profile", "fast"}};
+    ASSERT_TRUE(wait_until([&] {
+        return call(d.port(2), "POST", "/v1/completions", completion_body(5), fast).status == 200;
+    }));
+    EXPECT_FALSE(home.runs().empty());
+    EXPECT_EQ(d.revision_at(2), 1U);
+    const auto refused = call(d.port(2), "POST", "/services/desk/book", "x", booking);
+    EXPECT_EQ(refused.outcome, "not_executed") << refused.body;
+    EXPECT_TRUE(desk.runs().empty());
+    d.part({{0}, {}, {}});
+    d.part({{0, 1, 2}});
+    EXPECT_TRUE(wait_until([&] { return d.revision_at(2) == 2; }));
+    ASSERT_TRUE(wait_until([&] {
+        return call(d.port(2), "POST", "/services/desk/book", "x", booking).status == 200;
+    }));
+    EXPECT_EQ(desk.runs().size(), 1U) << "the refused try did not run, the repeated one ran once";
+}
+
+TEST(SystemControl, ADrainingServerGetsNothingNew) {
+    deployment d({"a", "b"}, 1);
+    auto& leaving = d.add_server("a", "m", false);
+    auto& staying = d.add_server("b", "m", false);
+    d.start();
+    const json change{{"id", "drain"}, {"set_server_state", {{"id", 1}, {"state", "draining"}}}};
+    ASSERT_EQ(publish(d, 0, change.dump()).status, 200U);
+    ASSERT_TRUE(wait_until([&] { return all_have(d, 2, 2); }));
+    const auto before = leaving.runs().size();
+    for (std::size_t i = 0; i < 10; ++i) {
+        const auto result = call(d.port(i % 2), "POST", "/v1/completions", completion_body(3),
+                                 {{"Tarragon-Profile", "fast"}});
+        EXPECT_EQ(result.status, 200U) << result.body;
+    }
+    EXPECT_EQ(leaving.runs().size(), before);
+    EXPECT_EQ(staying.runs().size(), 10U);
+}
+
+TEST(SystemControl, OperatorsAreAskedForATokenWhereOneIsSet) {
+    settings::instance_settings own;
+    own.id = {1};
+    own.failure_domain = "a";
+    own.http = {.address = "127.0.0.1", .port = free_port()};
+    own.wire = {.address = "127.0.0.1", .port = free_port()};
+    own.operator_tokens = {"secret"};
+    runtime::instance single(own);
+    ASSERT_EQ(single.start(), "");
+    const auto port = own.http.port;
+    EXPECT_EQ(call(port, "GET", "/admin/config").status, 401U);
+    EXPECT_EQ(call(port, "GET", "/admin/config", "", {{"Authorization", "Bearer wrong"}}).status,
+              401U);
+    EXPECT_EQ(call(port, "GET", "/admin/config", "", {{"Authorization", "Bearer secret"}}).status,
+              200U);
+}
