Refusals copy the id they refuse; callers gone before the watch are seen

Cause: the address sanitizer found that refusing a queued request read its id after the item that held it was freed; the refused caller could have been told under a wrong id. A caller that had closed before its connection was watched went unnoticed.

--- a/include/tarragonspar/http/detail/session.hpp
+++ b/include/tarragonspar/http/detail/session.hpp
@@ -110,6 +110,12 @@
     void when_gone(std::function<void()> gone) override {
         watch_ = std::make_shared<std::function<void()>>(std::move(gone));
         auto& socket = beast::get_lowest_layer(stream_).socket();
+        if (is_closed()) {
+            // The caller left before this was called; no further event would come.
+            alive_ = false;
+            (*watch_)();
+            return;
+        }
         socket.async_wait(asio::socket_base::wait_read,
                           [this, watch = std::weak_ptr(watch_)](beast::error_code error) {
                               const auto held = watch.lock();
--- a/include/tarragonspar/routing/placement.hpp
+++ b/include/tarragonspar/routing/placement.hpp
@@ -14,8 +14,8 @@
 /// @brief Tunable parts of the choice of an owner.
 struct placement_options {
     std::size_t subset_size{4};           ///< servers that a (workspace, model) normally uses
-    std::size_t wide_subset_size{16}; ///< servers looked at once those have no free slot
-    std::size_t kept_subsets{8192};   ///< subsets remembered between requests
+    std::size_t wide_subset_size{16};     ///< servers looked at once those have no free slot
+    std::size_t kept_subsets{8192};       ///< subsets remembered between requests
     std::size_t known_prefixes{8192};     ///< prefixes whose last owner is remembered
     std::uint32_t root_blocks{8};         ///< blocks that identify a prefix at most
     double remote_penalty_seconds{0.003}; ///< cost of an owner in another failure domain
@@ -64,8 +64,8 @@
 /// @brief Chooses the instance that shall queue a request.
 ///
 /// Candidates are the owners of the request's server subset, and of a wider one once those have no
-/// free slot. Takes the least predicted wait, less the prefill that a known prefix saves, and notes the
-/// choice, so that requests of the same moment don't all follow one stale minimum.
+/// free slot. Takes the least predicted wait, less the prefill that a known prefix saves, and notes
+/// the choice, so that requests of the same moment don't all follow one stale minimum.
 /// @param avoid  instances that have just failed or refused this request
 /// @return nothing when no reachable owner has a server for the model
 /// @par Complexity  linear in the subset; linear in the servers of the model for the first request
--- a/include/tarragonspar/runtime/membership_service.hpp
+++ b/include/tarragonspar/runtime/membership_service.hpp
@@ -17,7 +17,7 @@
 /// @brief Bounds of the gossip between instances.
 struct membership_options {
     membership::view_options view;
-    std::chrono::milliseconds interval{400}; ///< between two exchanges that this instance begins
+    std::chrono::milliseconds interval{600}; ///< between two exchanges that this instance begins
 };
 
 /// @brief Keeps the view of other instances by gossip over the inner protocol.
--- a/src/dispatch/shedding.cpp
+++ b/src/dispatch/shedding.cpp
@@ -20,8 +20,9 @@
 /// Requests that one tick may transfer, so that a digest is not overrun.
 constexpr int max_transfers_per_tick = 16;
 
-/// Removes a request, forgets it in all counts and refuses it.
-void refuse_queued(scheduler& target, const request_id& id, reason why, time_point now,
+/// Removes a request, forgets it in all counts and refuses it. The id is copied, since the caller's
+/// may belong to the queued item.
+void refuse_queued(scheduler& target, request_id id, reason why, time_point now,
                    std::vector<effect>& effects) {
     const auto model = target.queued_model.at(id);
     const auto pause = retry_after(target, target.pools.at(model), model);
@@ -31,7 +32,7 @@
     effects.emplace_back(refuse{.id = id, .why = why, .retry_after = pause});
 }
 
-void transfer_queued(scheduler& target, const request_id& id, instance_id peer, time_point now,
+void transfer_queued(scheduler& target, request_id id, instance_id peer, time_point now,
                      std::vector<effect>& effects) {
     std::vector<effect> none;
     step(target, withdrawn{.id = id}, now, none);
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -18,9 +18,8 @@
 constexpr double affinity_weight = 8.0;
 
 /// The servers of a model that a workspace may use, by falling rendezvous weight.
-const std::vector<const placed_server*>& subset_of(placement& source,
-                                                   const std::vector<placed_server>& all,
-                                                   const work_item& work) {
+const std::vector<const placed_server*>&
+subset_of(placement& source, const std::vector<placed_server>& all, const work_item& work) {
     const auto key = hash_pair(work.workspace.value, work.model.value);
     const auto known = source.subsets.find(key);
     if (known != source.subsets.end()) {
--- a/src/runtime/control_service.cpp
+++ b/src/runtime/control_service.cpp
@@ -27,7 +27,7 @@
 /// Pause before a command is sent to the next candidate.
 constexpr auto submit_retry = std::chrono::milliseconds{100};
 /// Times that a command is sent before its fate counts as not known.
-constexpr int max_submit_attempts = 20;
+constexpr int max_submit_attempts = 40;
 /// Changes kept to bring others up to date without the whole configuration.
 constexpr std::size_t max_recent_changes = 256;
 
