--- a/src/consensus/codec.cpp
+++ b/src/consensus/codec.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "tarragonspar/types/cbor.hpp"
+
 namespace tarragonspar::consensus {
 
 namespace {
@@ -32,25 +34,16 @@
     return {.voters = ids_from_json(in.at(0)), .learners = ids_from_json(in.at(1))};
 }
 
-json binary(const std::string& bytes) {
-    return json::binary({bytes.begin(), bytes.end()});
-}
-
-std::string text_of(const json& in) {
-    const auto& bytes = in.get_binary();
-    return {bytes.begin(), bytes.end()};
-}
-
 json entry_to_json(const entry& value) {
-    return json::array(
-        {value.term.value, value.index.value, static_cast<int>(value.kind), binary(value.data)});
+    return json::array({value.term.value, value.index.value, static_cast<int>(value.kind),
+                        cbor::binary(value.data)});
 }
 
 entry entry_from_json(const json& in) {
     return {.term = {in.at(0).get<std::uint64_t>()},
             .index = {in.at(1).get<std::uint64_t>()},
             .kind = static_cast<entry_kind>(in.at(2).get<int>()),
-            .data = text_of(in.at(3))};
+            .data = cbor::bytes_of(in.at(3))};
 }
 
 json mark_to_json(const snapshot_mark& value) {
@@ -83,8 +76,8 @@
         return json::array({value.success, value.match.value, value.round});
     }
     json operator()(const snapshot_chunk& value) const {
-        return json::array(
-            {mark_to_json(value.mark), value.offset, value.total, binary(value.data), value.round});
+        return json::array({mark_to_json(value.mark), value.offset, value.total,
+                            cbor::binary(value.data), value.round});
     }
     json operator()(const snapshot_reply& value) const {
         return json::array({value.index.value, value.next_offset, value.round});
@@ -118,7 +111,7 @@
         return snapshot_chunk{.mark = mark_from_json(in.at(0)),
                               .offset = in.at(1).get<std::uint64_t>(),
                               .total = in.at(2).get<std::uint64_t>(),
-                              .data = text_of(in.at(3)),
+                              .data = cbor::bytes_of(in.at(3)),
                               .round = in.at(4).get<std::uint64_t>()};
     default:
         return snapshot_reply{.index = {in.at(0).get<std::uint64_t>()},
@@ -127,12 +120,6 @@
     }
 }
 
-std::string to_bytes(const json& value) {
-    std::string out;
-    json::to_cbor(value, out);
-    return out;
-}
-
 } // namespace
 
 std::string encode(const std::vector<message>& messages) {
@@ -141,7 +128,7 @@
         list.push_back(json::array({item.from.value, item.to.value, item.term.value,
                                     item.body.index(), std::visit(body_writer{}, item.body)}));
     }
-    return to_bytes(list);
+    return cbor::encode(list);
 }
 
 std::vector<message> decode(const std::string& bytes) {
@@ -162,7 +149,7 @@
 }
 
 std::string encode(const entry& value) {
-    return to_bytes(entry_to_json(value));
+    return cbor::encode(entry_to_json(value));
 }
 
 entry decode_entry(const std::string& bytes) {
@@ -170,7 +157,7 @@
 }
 
 std::string encode(const group& value) {
-    return to_bytes(group_to_json(value));
+    return cbor::encode(group_to_json(value));
 }
 
 group decode_group(const std::string& bytes) {
--- a/src/control/replica_store.cpp
+++ b/src/control/replica_store.cpp
@@ -6,6 +6,8 @@
 #include <boost/leaf/result.hpp>
 #include <nlohmann/json.hpp>
 
+#include "tarragonspar/types/cbor.hpp"
+
 namespace tarragonspar::control {
 
 namespace leaf = boost::leaf;
@@ -14,33 +16,18 @@
 
 using nlohmann::json;
 
-std::string to_bytes(const json& value) {
-    std::string out;
-    json::to_cbor(value, out);
-    return out;
-}
-
-json binary(const std::string& bytes) {
-    return json::binary({bytes.begin(), bytes.end()});
-}
-
-std::string text_of(const json& in) {
-    const auto& bytes = in.get_binary();
-    return {bytes.begin(), bytes.end()};
-}
-
 std::string term_record(consensus::term_number term,
                         std::optional<consensus::replica_id> voted_for) {
-    return to_bytes(
+    return cbor::encode(
         json::array({"term", term.value, voted_for ? json(voted_for->value) : json(nullptr)}));
 }
 
 std::string entries_record(consensus::log_index from, const std::vector<consensus::entry>& added) {
     json list = json::array();
     for (const auto& item : added) {
-        list.push_back(binary(consensus::encode(item)));
+        list.push_back(cbor::binary(consensus::encode(item)));
     }
-    return to_bytes(json::array({"entries", from.value, list}));
+    return cbor::encode(json::array({"entries", from.value, list}));
 }
 
 void replay_entries(const json& in, consensus::durable_state& out) {
@@ -49,7 +36,7 @@
         out.entries.pop_back();
     }
     for (const auto& item : in.at(2)) {
-        auto added = consensus::decode_entry(text_of(item));
+        auto added = consensus::decode_entry(cbor::bytes_of(item));
         if (added.index > out.snapshot.index) {
             out.entries.push_back(std::move(added));
         }
@@ -84,8 +71,8 @@
     const auto in = json::from_cbor(bytes);
     out.snapshot.index = {in.at(0).get<std::uint64_t>()};
     out.snapshot.term = {in.at(1).get<std::uint64_t>()};
-    out.snapshot.members = consensus::decode_group(text_of(in.at(2)));
-    out.snapshot_data = text_of(in.at(3));
+    out.snapshot.members = consensus::decode_group(cbor::bytes_of(in.at(2)));
+    out.snapshot_data = cbor::bytes_of(in.at(3));
     return {};
 }
 
@@ -129,9 +116,10 @@
 }
 
 leaf::result<void> replica_store::store_snapshot(const consensus::replica& from) {
-    const auto bytes = to_bytes(json::array({from.snapshot.index.value, from.snapshot.term.value,
-                                             binary(consensus::encode(from.snapshot.members)),
-                                             binary(from.snapshot_data)}));
+    const auto bytes =
+        cbor::encode(json::array({from.snapshot.index.value, from.snapshot.term.value,
+                                  cbor::binary(consensus::encode(from.snapshot.members)),
+                                  cbor::binary(from.snapshot_data)}));
     BOOST_LEAF_CHECK(storage::replace_file(snapshot_path(folder_), bytes));
     const auto fresh_path = log_path(folder_) + ".new";
     std::remove(fresh_path.c_str());
--- a/src/control/state.cpp
+++ b/src/control/state.cpp
@@ -2,18 +2,14 @@
 
 #include <nlohmann/json.hpp>
 
+#include "tarragonspar/types/cbor.hpp"
+
 namespace tarragonspar::control {
 
 namespace {
 
 using nlohmann::json;
 
-std::string to_bytes(const json& value) {
-    std::string out;
-    json::to_cbor(value, out);
-    return out;
-}
-
 } // namespace
 
 reply apply(state& target, const command& what) {
@@ -30,7 +26,7 @@
 std::string encode(const command& value) {
     json out = json::array({value.index()});
     std::visit([&](const auto& specific) { out.push_back(specific); }, value);
-    return to_bytes(out);
+    return cbor::encode(out);
 }
 
 command decode_command(const std::string& bytes) {
@@ -52,7 +48,7 @@
     } else if (const auto* claimed = std::get_if<idempotency::claim_answer>(&value)) {
         out.push_back(*claimed);
     }
-    return to_bytes(out);
+    return cbor::encode(out);
 }
 
 reply decode_reply(const std::string& bytes) {
@@ -68,7 +64,7 @@
 }
 
 std::string encode(const state& value) {
-    return to_bytes(json::array({value.configuration, value.keys}));
+    return cbor::encode(json::array({value.configuration, value.keys}));
 }
 
 state decode_state(const std::string& bytes) {
--- a/src/runtime/keyed_requests.cpp
+++ b/src/runtime/keyed_requests.cpp
@@ -4,6 +4,7 @@
 
 #include "tarragonspar/runtime/await_reply.hpp"
 #include "tarragonspar/runtime/clock.hpp"
+#include "tarragonspar/types/cbor.hpp"
 
 namespace tarragonspar::runtime {
 
@@ -38,35 +39,20 @@
     return out;
 }
 
-json binary(const std::string& bytes) {
-    return json::binary({bytes.begin(), bytes.end()});
-}
-
-std::string text_of(const json& in) {
-    const auto& bytes = in.get_binary();
-    return {bytes.begin(), bytes.end()};
-}
-
-std::string to_bytes(const json& value) {
-    std::string out;
-    json::to_cbor(value, out);
-    return out;
-}
-
 std::string encode_request(const keyed_request& value, request_id id) {
-    return to_bytes({{"id", to_string(id)},
-                     {"key", value.key},
-                     {"profile", value.profile},
-                     {"workspace", value.workspace},
-                     {"model", value.model},
-                     {"plain", value.call.plain},
-                     {"method", value.call.method},
-                     {"target", value.call.target},
-                     {"content_type", value.call.content_type},
-                     {"body", binary(value.call.body)},
-                     {"prompt", value.prompt.value},
-                     {"max_output", value.max_output.value},
-                     {"prompt_text", binary(value.prompt_text)}});
+    return cbor::encode({{"id", to_string(id)},
+                         {"key", value.key},
+                         {"profile", value.profile},
+                         {"workspace", value.workspace},
+                         {"model", value.model},
+                         {"plain", value.call.plain},
+                         {"method", value.call.method},
+                         {"target", value.call.target},
+                         {"content_type", value.call.content_type},
+                         {"body", cbor::binary(value.call.body)},
+                         {"prompt", value.prompt.value},
+                         {"max_output", value.max_output.value},
+                         {"prompt_text", cbor::binary(value.prompt_text)}});
 }
 
 keyed_request decode_request(const json& in) {
@@ -79,27 +65,27 @@
     value.call.method = in.at("method").get<std::string>();
     value.call.target = in.at("target").get<std::string>();
     value.call.content_type = in.at("content_type").get<std::string>();
-    value.call.body = text_of(in.at("body"));
+    value.call.body = cbor::bytes_of(in.at("body"));
     value.prompt = {in.at("prompt").get<std::uint32_t>()};
     value.max_output = {in.at("max_output").get<std::uint32_t>()};
-    value.prompt_text = text_of(in.at("prompt_text"));
+    value.prompt_text = cbor::bytes_of(in.at("prompt_text"));
     return value;
 }
 
 std::string encode_answer(const keyed_answer& value) {
     const auto fits = value.body.size() <= max_relayed_bytes;
-    return to_bytes({{"result", static_cast<int>(value.result)},
-                     {"why", static_cast<int>(value.why)},
-                     {"retry_after", value.retry_after.count()},
-                     {"request_id", value.request_id},
-                     {"status", value.status},
-                     {"content_type", value.content_type},
-                     {"body", binary(fits ? value.body : std::string{})},
-                     {"complete", value.complete && fits},
-                     {"key_differs", value.key_differs},
-                     {"finish_reason", value.finished.finish_reason},
-                     {"prompt", value.finished.prompt.value},
-                     {"generated", value.finished.generated.value}});
+    return cbor::encode({{"result", static_cast<int>(value.result)},
+                         {"why", static_cast<int>(value.why)},
+                         {"retry_after", value.retry_after.count()},
+                         {"request_id", value.request_id},
+                         {"status", value.status},
+                         {"content_type", value.content_type},
+                         {"body", cbor::binary(fits ? value.body : std::string{})},
+                         {"complete", value.complete && fits},
+                         {"key_differs", value.key_differs},
+                         {"finish_reason", value.finished.finish_reason},
+                         {"prompt", value.finished.prompt.value},
+                         {"generated", value.finished.generated.value}});
 }
 
 std::optional<keyed_answer> decode_answer(const std::string& bytes) {
@@ -112,7 +98,7 @@
         value.request_id = in.at("request_id").get<std::string>();
         value.status = in.at("status").get<unsigned>();
         value.content_type = in.at("content_type").get<std::string>();
-        value.body = text_of(in.at("body"));
+        value.body = cbor::bytes_of(in.at("body"));
         value.complete = in.at("complete").get<bool>();
         value.key_differs = in.at("key_differs").get<bool>();
         value.finished.result = value.result;
@@ -335,11 +321,12 @@
     }
     const json question{{"id", to_string(record.request)}, {"key", key}};
     if (record.request.issuer != self_) {
-        auto answer = co_await ask_issuer(wire::topic::request, record.request, to_bytes(question));
+        auto answer =
+            co_await ask_issuer(wire::topic::request, record.request, cbor::encode(question));
         co_return answer;
     }
     std::function<void(std::function<void(wire::answer)>)> begin =
-        [this, payload = to_bytes(question)](auto done) {
+        [this, payload = cbor::encode(question)](auto done) {
             on_question(wire::topic::request, payload, std::move(done));
         };
     const auto told = co_await await_reply<wire::answer>(std::move(begin));
