A joining replica starts from an empty state

Ruled out: a lost entry (commit was 7 on both), a failed disk, a stale reader. Change: the state is emptied before the replica starts; the test prints both replicas' states when it fails.

--- a/src/runtime/control_service.cpp
+++ b/src/runtime/control_service.cpp
@@ -162,7 +162,10 @@
         std::sort(voters.begin(), voters.end());
     }
     if (stored.snapshot_data.empty()) {
-        // Every founding replica starts from the same settings.
+        // Every founding replica starts from the same settings, with nothing of what peers may
+        // have told before: an answer known in advance would keep its change from being applied.
+        state_ = {};
+        recent_.clear();
         state_.configuration.current = options_.first;
         state_.configuration.current.number = {
             std::max<std::uint64_t>(1, options_.first.number.value)};
--- a/tests/unit-system-control.cpp
+++ b/tests/unit-system-control.cpp
@@ -105,7 +105,9 @@
     d.kill(0);
     ASSERT_TRUE(
         wait_until([&] { return publish(d, 2, profile_change("c2", "p", 3)).status == 200; }));
-    EXPECT_TRUE(wait_until([&] { return d.revision_at(1) == 4 && d.revision_at(2) == 4; }));
+    EXPECT_TRUE(wait_until([&] { return d.revision_at(1) == 4 && d.revision_at(2) == 4; }))
+        << d.status(1)["control"] << ' ' << d.status(2)["control"] << ' ' << d.revision_at(1) << ' '
+        << d.revision_at(2);
 }
 
 TEST(SystemControl, ACutOffDomainServesWithItsConfigurationAndClaimsNoKeys) {
