--- /dev/null
+++ b/include/tarragonspar/admission/quota.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <unordered_map>
+
+#include "tarragonspar/types/ids.hpp"
+#include "tarragonspar/types/units.hpp"
+
+namespace tarragonspar::admission {
+
+/// @brief Rate and burst that one workspace may use.
+struct quota_limit {
+    double units_per_second{};
+    double burst{};
+    friend bool operator==(const quota_limit&, const quota_limit&) = default;
+};
+
+/// @brief Units that workspaces may still use, refilled with time.
+///
+/// Answers the load in which one workspace sends many times its usual: what is beyond its limit is
+/// turned away before it takes a slot from others.
+struct quota_table {
+    struct bucket {
+        quota_limit limit;
+        double units{};
+        time_point updated{};
+    };
+    std::unordered_map<workspace_id, bucket> buckets;
+};
+
+/// @brief Replaces all limits; what is left in a bucket stays, up to the new burst.
+void set_limits(quota_table& target, const std::unordered_map<workspace_id, quota_limit>& limits,
+                time_point now);
+
+/// @brief Takes units for a request.
+/// @return 0 if they were there, else the time after which they will be
+[[nodiscard]] duration take(quota_table& target, workspace_id workspace, std::uint32_t units,
+                            time_point now);
+
+/// @brief Gives units back for a request that was not run.
+void give_back(quota_table& target, workspace_id workspace, std::uint32_t units);
+
+} // namespace tarragonspar::admission
--- a/include/tarragonspar/config/configuration.hpp
+++ b/include/tarragonspar/config/configuration.hpp
@@ -38,6 +38,7 @@
     std::vector<std::string> offers; ///< model names, or service names
     std::string hardware_class;      ///< servers of one class are expected to be equally fast
     std::uint32_t slots{8};          ///< first guess of how many requests run side by side
+    bool slots_are_exact{false};     ///< `slots` is what the server admits, not a guess
     bool checks_fencing{false};      ///< refuses orders that carry an old fencing number
     friend bool operator==(const server&, const server&) = default;
 };
--- /dev/null
+++ b/include/tarragonspar/config/document.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <string>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "tarragonspar/config/catalogue.hpp"
+
+namespace tarragonspar::config {
+
+/// @brief A whole published document, kept as the operator sent it.
+struct document {
+    document_number number; ///< 0: nothing was published yet
+    std::string content;
+    friend bool operator==(const document&, const document&) = default;
+};
+
+/// @brief What the publisher of a document is told.
+struct document_answer {
+    document_number in_force; ///< the highest number published so far
+    bool taken{false};        ///< whether this document became the one in force
+    friend bool operator==(const document_answer&, const document_answer&) = default;
+};
+
+/// @brief Takes a document if its number is higher than the one in force.
+///
+/// Another content under the number in force changes nothing, so a resend is harmless.
+[[nodiscard]] document_answer apply(document& target, const document& published);
+
+/// @brief JSON forms, for the replicated log.
+void to_json(nlohmann::json& out, const document& value);
+void from_json(const nlohmann::json& in, document& value);
+void to_json(nlohmann::json& out, const document_answer& value);
+void from_json(const nlohmann::json& in, document_answer& value);
+
+} // namespace tarragonspar::config
--- a/include/tarragonspar/control/state.hpp
+++ b/include/tarragonspar/control/state.hpp
@@ -3,6 +3,7 @@
 #include <string>
 #include <variant>
 
+#include "tarragonspar/config/document.hpp"
 #include "tarragonspar/config/state.hpp"
 #include "tarragonspar/idempotency/key_table.hpp"
 
@@ -10,15 +11,18 @@
 namespace tarragonspar::control {
 
 /// What an entry of the replicated log asks for.
-using command = std::variant<config::change, idempotency::claim, idempotency::settlement>;
+using command = std::variant<config::change, idempotency::claim, idempotency::settlement,
+                             config::document>;
 
 /// What the proposer of a command is told.
-using reply = std::variant<std::monostate, config::change_answer, idempotency::claim_answer>;
+using reply = std::variant<std::monostate, config::change_answer, idempotency::claim_answer,
+                           config::document_answer>;
 
-/// @brief Configuration and keys.
+/// @brief Configuration, keys and the published document.
 struct state {
     config::state configuration;
     idempotency::key_table keys;
+    config::document published;
 };
 
 /// @brief Applies a command; equal commands in equal order give equal states and replies.
--- a/include/tarragonspar/dispatch/events.hpp
+++ b/include/tarragonspar/dispatch/events.hpp
@@ -86,12 +86,19 @@
 /// The instance is leaving: queued work goes to peers.
 struct drain_requested {};
 
+/// A holder says that it runs a request which this owner does not know, after this owner was lost
+/// and came back, or another one took its place.
+struct adopted {
+    work_item work;
+    server_id server;
+};
+
 /// Time has passed.
 struct ticked {};
 
 using event = std::variant<arrived, withdrawn, dispatch_failed, grant_refused, first_token,
                            progressed, ended, reported, cache_changed, ownership_changed,
-                           peer_reported, peer_gone, drain_requested, ticked>;
+                           peer_reported, peer_gone, drain_requested, adopted, ticked>;
 
 /// Dispatch a request; its slot is reserved until `ended` or `dispatch_failed`.
 struct start_dispatch {
--- /dev/null
+++ b/include/tarragonspar/dispatch/grant_desk.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "tarragonspar/admission/quota.hpp"
+#include "tarragonspar/dispatch/scheduler.hpp"
+
+namespace tarragonspar::dispatch {
+
+/// @brief Leave to send a request to a backend server.
+struct grant {
+    server_id server;
+    std::string server_name; ///< as the platform calls the server
+    std::string address;     ///< `IP:port`
+};
+
+/// @brief A request that is not to be sent to any server.
+struct refusal {
+    reason why{reason::overloaded};
+    duration retry_after{};
+    friend bool operator==(const refusal&, const refusal&) = default;
+};
+
+using verdict = std::variant<grant, refusal>;
+
+/// @brief A verdict on a request that was asked about.
+struct decision {
+    request_id id;
+    verdict what;
+};
+
+/// How an earlier grant for a request ended, when its holder asks again.
+enum class earlier_grant : std::uint8_t {
+    none,
+    not_connected, ///< the server took no connection; nothing was sent
+    server_failed, ///< the server refused, failed or broke off
+};
+
+/// @brief News about a granted request.
+struct grant_news {
+    enum class what : std::uint8_t { withdrawn, first_token, done, failed };
+    request_id id;
+    what kind{what::withdrawn};
+    token_count generated;
+    bool server_fault{false};
+};
+
+/// @brief A request that its holder runs.
+struct held_request {
+    work_item work; ///< id, tier, workspace and model are enough
+    server_id server;
+};
+
+/// @brief What a holder has open.
+struct holder_report {
+    instance_id holder;
+    incarnation started_as;
+    std::vector<held_request> running;
+    std::vector<std::uint64_t> waiting; ///< sequence numbers
+};
+
+/// @brief One queue over all servers of a service: who may send a request, where to, and when.
+///
+/// Requests stay with the instance that took them (the holder), which alone sends them. The desk
+/// only grants. So a lost desk, or a lost message to or from it, leaves no request's outcome in
+/// doubt: the holder asks again, here or elsewhere. Its state is soft and is made anew from what
+/// holders report.
+struct grant_desk {
+    struct holder_state {
+        incarnation started_as;
+        time_point heard{};
+        std::map<std::uint64_t, time_point> missing; ///< granted, but not reported since then
+    };
+    scheduler decisions;
+    std::map<server_id, config::server> servers;
+    admission::quota_table quotas;
+    std::map<instance_id, holder_state> holders;
+};
+
+/// @brief Replaces the servers.
+void set_servers(grant_desk& target, const std::vector<config::server>& servers, time_point now,
+                 std::vector<decision>& out);
+
+/// @brief A holder asks for leave to send a request.
+void ask(grant_desk& target, const work_item& work, earlier_grant earlier, time_point now,
+         std::vector<decision>& out);
+
+/// @brief A holder tells what became of a request.
+void note(grant_desk& target, const grant_news& news, time_point now, std::vector<decision>& out);
+
+/// @brief Brings the desk's picture of a holder in line with what the holder says.
+void reconcile(grant_desk& target, const holder_report& report, time_point now,
+               std::vector<decision>& out);
+
+/// @brief Time has passed: looks for deadlines that can't be met and holders that went silent.
+void tick(grant_desk& target, time_point now, std::vector<decision>& out);
+
+/// @brief Holders heard of lately.
+[[nodiscard]] std::uint32_t holder_count(const grant_desk& source, time_point now);
+
+} // namespace tarragonspar::dispatch
--- /dev/null
+++ b/include/tarragonspar/gateway/control_instance.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <thread>
+
+#include <boost/asio/io_context.hpp>
+
+#include "tarragonspar/gateway/desk_service.hpp"
+#include "tarragonspar/gateway/dialect.hpp"
+#include "tarragonspar/gateway/server_directory.hpp"
+#include "tarragonspar/http/server.hpp"
+#include "tarragonspar/runtime/control_service.hpp"
+#include "tarragonspar/settings/instance_settings.hpp"
+#include "tarragonspar/telemetry/metrics.hpp"
+#include "tarragonspar/wire/node.hpp"
+
+namespace tarragonspar::gateway {
+
+/// @brief An instance that keeps published documents, and grants requests while it leads.
+class control_instance final : private wire::handler {
+public:
+    control_instance(settings::instance_settings settings, std::unique_ptr<const dialect> speaks);
+    ~control_instance() override;
+    control_instance(const control_instance&) = delete;
+    control_instance& operator=(const control_instance&) = delete;
+    control_instance(control_instance&&) = delete;
+    control_instance& operator=(control_instance&&) = delete;
+
+    /// @brief Binds all addresses and starts to serve.
+    /// @return an empty string, or why the instance can't start
+    [[nodiscard]] std::string start();
+    void shut_down();
+    void reload(const settings::instance_settings& fresh);
+
+private:
+    void on_enqueue(instance_id from, work_item work, dispatch::call_body call,
+                    std::shared_ptr<wire::remote_request> request) override;
+    void on_withdraw(instance_id from, const request_id& id) override;
+    void on_gossip(instance_id from, wire::gossip_message message,
+                   std::function<void(wire::gossip_message)> reply) override;
+    void on_probe(instance_id target, std::function<void(bool)> reply) override;
+    void on_consensus(instance_id from, std::string messages) override;
+    void on_question(instance_id from, wire::topic about, std::string payload,
+                     std::function<void(wire::answer)> reply) override;
+
+    void on_document(config::document newest);
+    void on_group(runtime::control_service::group_view group);
+    void on_servers(std::vector<config::server> servers);
+    void answer_report(const std::string& payload, const std::function<void(wire::answer)>& reply);
+    void answer_grant(const std::string& payload, std::function<void(wire::answer)> reply);
+    [[nodiscard]] bool schedules() const;
+    boost::asio::awaitable<void> handle(http::exchange& with);
+    boost::asio::awaitable<void> publish(http::exchange& with, std::string content);
+    boost::asio::awaitable<void> read_newest(http::exchange& with);
+
+    settings::instance_settings settings_;
+    std::unique_ptr<const dialect> speaks_;
+    boost::asio::io_context context_;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> keep_running_;
+    std::thread thread_;
+    telemetry::metrics metrics_;
+    std::unique_ptr<wire::node> node_;
+    std::shared_ptr<runtime::control_service> control_;
+    std::shared_ptr<desk_service> desk_;
+    std::shared_ptr<server_directory> directory_;
+    std::shared_ptr<http::server> server_;
+    std::shared_ptr<http::server> metrics_server_;
+    // Below: used on the context's thread only.
+    runtime::control_service::group_view group_;
+    time_point leads_since_{};
+    config::document newest_;
+    std::vector<config::server> servers_;
+    std::uint64_t servers_mark_{};
+    bool leaving_{false};
+};
+
+} // namespace tarragonspar::gateway
--- /dev/null
+++ b/include/tarragonspar/gateway/control_link.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "tarragonspar/gateway/desk_service.hpp"
+#include "tarragonspar/gateway/reports.hpp"
+#include "tarragonspar/settings/instance_settings.hpp"
+#include "tarragonspar/wire/node.hpp"
+
+namespace tarragonspar::gateway {
+
+/// @brief An entry instance's way to the control group: reports, news and grants.
+///
+/// Grants come from the leader of the group. While none is in reach, a desk of this instance's own
+/// grants, which gives each server only a small share of its slots, since it does not know what
+/// other entry instances send. All functions run on the context's thread.
+class control_link : public std::enable_shared_from_this<control_link> {
+public:
+    struct hooks {
+        std::function<dispatch::holder_report()> open_requests;
+        std::function<void(const config::document&)> on_document;
+        std::function<void(std::uint32_t entry_instances)> on_size;
+        /// Whether this instance should read the list of servers itself.
+        std::function<void(bool)> on_list_wanted;
+    };
+
+    control_link(boost::asio::io_context& context, instance_id self, wire::node& node,
+                 std::vector<instance_id> contacts, hooks uses);
+
+    void start();
+    void stop();
+
+    /// @brief Adds instances to ask, after the settings have changed.
+    void add_contacts(const std::vector<instance_id>& contacts);
+
+    /// @brief Asks for leave to send a request; the verdict comes later.
+    void ask(const work_item& work, dispatch::earlier_grant earlier, desk_service::reply answer);
+
+    /// @brief Tells what became of a request.
+    void note(const dispatch::grant_news& news);
+
+    void set_document(config::document_number in_force, const config::catalogue& content);
+    void set_servers(std::vector<config::server> servers);
+
+    /// @brief Whether some list of servers is known.
+    [[nodiscard]] bool has_servers() const noexcept {
+        return servers_mark_ != 0;
+    }
+    /// @brief Whether the leader of the control group has answered lately.
+    [[nodiscard]] bool has_leader() const noexcept {
+        return scheduler_.has_value();
+    }
+
+private:
+    struct waiting_locally {
+        work_item work;
+        dispatch::earlier_grant earlier;
+        desk_service::reply answer;
+    };
+
+    void report();
+    void share_servers();
+    void on_news(instance_id from, std::optional<wire::answer> answer);
+    void set_scheduler(std::optional<instance_id> scheduler);
+    void choose_target(std::optional<instance_id> leader);
+    void ask_remotely(const work_item& work, dispatch::earlier_grant earlier,
+                      desk_service::reply answer);
+    void ask_locally(const work_item& work, dispatch::earlier_grant earlier,
+                     desk_service::reply answer);
+
+    boost::asio::io_context& context_;
+    instance_id self_;
+    wire::node& node_;
+    hooks uses_;
+    boost::asio::steady_timer timer_;
+    std::vector<instance_id> contacts_;
+    std::size_t next_contact_{0};
+    std::optional<instance_id> target_;
+    std::optional<instance_id> scheduler_;
+    time_point scheduler_heard_{};
+    time_point list_heard_{};
+    std::uint32_t entry_instances_{1};
+    config::document_number document_;
+    std::uint64_t servers_mark_{};
+    std::vector<config::server> servers_;
+    std::shared_ptr<desk_service> own_desk_;
+    std::unordered_map<request_id, waiting_locally> local_;
+    bool stopped_{false};
+};
+
+} // namespace tarragonspar::gateway
--- /dev/null
+++ b/include/tarragonspar/gateway/desk_service.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "tarragonspar/config/catalogue.hpp"
+#include "tarragonspar/dispatch/grant_desk.hpp"
+
+namespace tarragonspar::gateway {
+
+/// @brief A grant desk with a clock, and the callbacks of those who wait for its verdicts.
+///
+/// All functions run on the context's thread.
+class desk_service : public std::enable_shared_from_this<desk_service> {
+public:
+    using reply = std::function<void(dispatch::verdict)>;
+
+    explicit desk_service(boost::asio::io_context& context);
+
+    void set_servers(const std::vector<config::server>& servers);
+    void set_quotas(const config::catalogue& from, double share);
+    void ask(const work_item& work, dispatch::earlier_grant earlier, reply answer);
+    void note(const dispatch::grant_news& news);
+    void reconcile(const dispatch::holder_report& report);
+
+    /// @brief Gives up everything that waits, without verdicts.
+    /// @return the callbacks that were left waiting
+    std::vector<reply> forget_all();
+
+    [[nodiscard]] bool has_servers() const {
+        return !desk_.servers.empty();
+    }
+    [[nodiscard]] std::uint32_t holders() const;
+    [[nodiscard]] std::size_t queued() const;
+
+private:
+    void carry_out(std::vector<dispatch::decision>& made);
+    void schedule_tick();
+
+    boost::asio::steady_timer timer_;
+    bool ticking_{false};
+    dispatch::grant_desk desk_;
+    std::unordered_map<request_id, reply> asking_;
+};
+
+} // namespace tarragonspar::gateway
--- /dev/null
+++ b/include/tarragonspar/gateway/entry_instance.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <random>
+#include <string>
+#include <thread>
+#include <unordered_map>
+
+#include <boost/asio/io_context.hpp>
+
+#include "tarragonspar/admission/retry_allowance.hpp"
+#include "tarragonspar/gateway/control_link.hpp"
+#include "tarragonspar/gateway/dialect.hpp"
+#include "tarragonspar/gateway/relayed_request.hpp"
+#include "tarragonspar/gateway/server_directory.hpp"
+#include "tarragonspar/http/server.hpp"
+#include "tarragonspar/settings/instance_settings.hpp"
+#include "tarragonspar/telemetry/metrics.hpp"
+#include "tarragonspar/wire/node.hpp"
+
+namespace tarragonspar::gateway {
+
+/// @brief An instance that takes callers' requests and sends each to a backend server itself.
+class entry_instance final : private wire::handler {
+public:
+    entry_instance(settings::instance_settings settings, std::unique_ptr<const dialect> speaks);
+    ~entry_instance() override;
+    entry_instance(const entry_instance&) = delete;
+    entry_instance& operator=(const entry_instance&) = delete;
+    entry_instance(entry_instance&&) = delete;
+    entry_instance& operator=(entry_instance&&) = delete;
+
+    /// @brief Binds all addresses and starts to serve.
+    /// @return an empty string, or why the instance can't start
+    [[nodiscard]] std::string start();
+
+    /// @brief Leaves: says that it is not ready, finishes what runs, and returns.
+    void shut_down();
+    void reload(const settings::instance_settings& fresh);
+
+private:
+    using request_ptr = std::shared_ptr<relayed_request>;
+
+    void on_enqueue(instance_id from, work_item work, dispatch::call_body call,
+                    std::shared_ptr<wire::remote_request> request) override;
+    void on_withdraw(instance_id from, const request_id& id) override;
+    void on_gossip(instance_id from, wire::gossip_message message,
+                   std::function<void(wire::gossip_message)> reply) override;
+    void on_probe(instance_id target, std::function<void(bool)> reply) override;
+    void on_consensus(instance_id from, std::string messages) override;
+    void on_question(instance_id from, wire::topic about, std::string payload,
+                     std::function<void(wire::answer)> reply) override;
+
+    void make_link();
+    void on_document(const config::document& newest);
+    [[nodiscard]] bool is_ready() const;
+    [[nodiscard]] dispatch::holder_report open_requests() const;
+
+    boost::asio::awaitable<void> handle(http::exchange& with);
+    boost::asio::awaitable<void> handle_readiness(http::exchange& with);
+    [[nodiscard]] request_ptr admit(const http::request_message& request, http::reply& refused);
+    void fill_work(relayed_request& request);
+    void watch(const request_ptr& request, http::exchange& with);
+    boost::asio::awaitable<void> relay(request_ptr request, http::exchange& with);
+    boost::asio::awaitable<bool> wait_for_grant(request_ptr request,
+                                                dispatch::earlier_grant earlier);
+    boost::asio::awaitable<attempt_end> attempt(request_ptr request, http::exchange& with);
+    boost::asio::awaitable<attempt_end> pass_answer(request_ptr request, http::exchange& with,
+                                                    http::answer_head head);
+    boost::asio::awaitable<attempt_end> pass_events(request_ptr request, http::exchange& with,
+                                                    http::answer_head head);
+    boost::asio::awaitable<bool> forward_events(request_ptr request, http::exchange& with,
+                                                const http::answer_head& head,
+                                                const std::vector<http::stream_event>& events);
+    boost::asio::awaitable<void> conclude(request_ptr request, http::exchange& with,
+                                          attempt_end last);
+    [[nodiscard]] bool may_try_again(relayed_request& request, attempt_end last);
+    void tell_desk(relayed_request& request, attempt_end how, bool server_fault);
+    void note_finished(const relayed_request& request);
+
+    settings::instance_settings settings_;
+    std::unique_ptr<const dialect> speaks_;
+    incarnation started_as_;
+    boost::asio::io_context context_;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> keep_running_;
+    std::thread thread_;
+    telemetry::metrics metrics_;
+    std::unique_ptr<wire::node> node_;
+    std::shared_ptr<control_link> link_;
+    std::shared_ptr<server_directory> directory_;
+    std::shared_ptr<http::server> front_;
+    std::shared_ptr<http::server> readiness_;
+    std::shared_ptr<http::server> metrics_server_;
+    std::atomic<bool> leaving_{false};
+    std::atomic<std::size_t> open_count_{0};
+    // Below: used on the context's thread only.
+    std::shared_ptr<const config::catalogue_index> catalogue_;
+    std::unordered_map<std::uint64_t, request_ptr> open_;
+    std::uint64_t next_sequence_{0};
+    admission::retry_allowance repeats_;
+    std::mt19937_64 random_;
+};
+
+} // namespace tarragonspar::gateway
--- a/include/tarragonspar/http/detail/serve.hpp
+++ b/include/tarragonspar/http/detail/serve.hpp
@@ -2,7 +2,9 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
+#include <mutex>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -18,11 +20,40 @@
 /// Completion token that yields the error as a value.
 constexpr auto as_result = boost::asio::as_tuple(boost::asio::use_awaitable);
 
+/// @brief Connections that wait for a request, so that they can be closed when a server leaves.
+class idle_list {
+public:
+    /// @brief Notes an idle connection.
+    /// @param close  ends it; called on the connection's own executor
+    /// @return a key for `remove`
+    std::uint64_t add(std::function<void()> close) {
+        const std::lock_guard lock(mutex_);
+        connections_.emplace(++next_, std::move(close));
+        return next_;
+    }
+    void remove(std::uint64_t key) {
+        const std::lock_guard lock(mutex_);
+        connections_.erase(key);
+    }
+    void close_all() {
+        const std::lock_guard lock(mutex_);
+        for (const auto& [key, close] : connections_) {
+            close();
+        }
+    }
+
+private:
+    std::mutex mutex_;
+    std::uint64_t next_{0};
+    std::map<std::uint64_t, std::function<void()>> connections_;
+};
+
 /// @brief What the sessions of one server share; outlives them.
 struct session_context {
-    const settings::http_limits& limits;
+    const std::atomic<std::shared_ptr<const settings::http_limits>>& limits;
     const std::atomic<bool>& stopping;
     const std::function<boost::asio::awaitable<void>(exchange&)>& handle;
+    idle_list& idle;
 };
 
 /// @brief Serves one connection over plain TCP until it ends.
--- a/include/tarragonspar/http/exchange.hpp
+++ b/include/tarragonspar/http/exchange.hpp
@@ -23,6 +23,7 @@
     std::string content_type{"application/json"};
     header_list headers;
     std::string body;
+    bool close{false}; ///< end the connection after this response
 };
 
 /// @brief One request of a caller and the means to answer it.
@@ -56,6 +57,9 @@
     /// @brief Ends a begun response.
     virtual boost::asio::awaitable<bool> end_stream() = 0;
 
+    /// @brief Ends a begun response so that the caller sees that it is not whole.
+    virtual void abort() = 0;
+
     /// @brief Calls `gone` once if the caller closes its connection before the response ends.
     virtual void when_gone(std::function<void()> gone) = 0;
 };
--- a/include/tarragonspar/http/server.hpp
+++ b/include/tarragonspar/http/server.hpp
@@ -13,6 +13,10 @@
 
 namespace tarragonspar::http {
 
+namespace detail {
+class idle_list;
+}
+
 /// @brief What a server needs to know.
 struct server_options {
     settings::endpoint listen;
@@ -35,6 +39,13 @@
     /// @brief Stops accepting and tells callers with idle connections to leave.
     void stop_accepting();
 
+    /// @brief Replaces the limits on requests to come.
+    void set_limits(const settings::http_limits& limits);
+
+    /// @brief Closes connections on which no request is being read or answered, and has the others
+    /// close after their answer.
+    void close_idle();
+
     /// @brief Replaces the certificates for connections to come.
     void set_tls(std::shared_ptr<boost::asio::ssl::context> tls);
 
@@ -56,6 +67,8 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     std::atomic<std::size_t> connections_{0};
     std::atomic<bool> stopping_{false};
+    std::atomic<std::shared_ptr<const settings::http_limits>> limits_;
+    std::shared_ptr<detail::idle_list> idle_;
     std::atomic<std::shared_ptr<boost::asio::ssl::context>> tls_;
 };
 
--- a/include/tarragonspar/routing/server_model.hpp
+++ b/include/tarragonspar/routing/server_model.hpp
@@ -29,6 +29,7 @@
     prefix_index cache;
     window in_flight_window;
     circuit_breaker breaker;
+    bool keep_in_use{false}; ///< too many others are ejected for this one to be left out
     load_report report;
     std::uint32_t in_flight{};
     std::uint64_t pending_prefill{}; ///< prompt tokens dispatched and not yet answered by a token
--- a/include/tarragonspar/runtime/control_service.hpp
+++ b/include/tarragonspar/runtime/control_service.hpp
@@ -26,9 +26,13 @@
     bool replica{false};               ///< this instance is a control replica
     std::string data_folder;           ///< empty: the replica's state is in memory
     std::vector<instance_id> replicas; ///< other instances with a control replica
+    /// Replicas are not all known beforehand: they ask to join, and absent ones are replaced.
+    bool open_group{false};
+    bool may_found{false}; ///< open groups: a new disk here belongs to the first group
     config::configuration first;       ///< accepted as revision 1 when the group is formed
     consensus::replica_options consensus;
     std::size_t compact_after{512}; ///< applied entries between two snapshots
+    std::uint64_t compact_bytes{8 * 1024 * 1024}; ///< log size that brings on a snapshot
 };
 
 /// @brief Runs a control replica where the settings ask for one, and brings the accepted
@@ -39,6 +43,16 @@
                               public std::enable_shared_from_this<control_service> {
 public:
     using listener = std::function<void(std::shared_ptr<const config::state>)>;
+    using document_listener = std::function<void(config::document)>;
+
+    /// @brief What is known about the group from here.
+    struct group_view {
+        bool leads{false};
+        std::optional<instance_id> leader;
+        std::vector<instance_id> members; ///< voters and learners
+        consensus::term_number term;
+    };
+    using group_listener = std::function<void(group_view)>;
 
     control_service(control_options options, wire::node& node, listener on_change);
     ~control_service() override;
@@ -56,6 +70,18 @@
     /// @param done  gets the reply, or nothing when it is not known whether it was applied
     void submit(control::command what, std::function<void(std::optional<control::reply>)> done);
 
+    /// @brief Calls back on the service's thread when a document comes into force here, and when
+    /// the leader or the group changes; to be set before `start`.
+    void listen(document_listener on_document, group_listener on_group);
+
+    /// @brief Publishes a document, through whichever replica leads.
+    /// @param done  gets whether everybody will see this document or a newer one; false: unknown
+    void publish(config::document what, std::function<void(bool)> done);
+
+    /// @brief Reads the newest document, proved to be the newest.
+    /// @param done  gets nothing when that can't be proved now
+    void read_published(std::function<void(std::optional<config::document>)> done);
+
     /// @brief Messages of another replica.
     void on_messages(const std::string& bytes);
 
@@ -91,6 +117,12 @@
     void give_up_waiting();
     void compact_if_due();
     void ask_to_join();
+    void replace_absent();
+    void note_group();
+    void on_read_ready(const consensus::read_ready& what);
+    void read_here(std::function<void(std::optional<config::document>)> done);
+    [[nodiscard]] std::vector<instance_id> other_replicas() const;
+    [[nodiscard]] std::string load_founders(bool founding);
     void take_join(consensus::replica_id joining);
     void submit_here(std::string bytes, std::function<void(std::optional<std::string>)> done);
     void submit_anywhere(std::string bytes, std::vector<instance_id> candidates, int attempts,
@@ -110,14 +142,20 @@
     std::optional<consensus::replica> replica_;
     std::optional<control::replica_store> store_;
     bool failed_{false};
+    std::optional<std::uint32_t> disk_;
     bool stopped_{false};
     control::state state_;
     consensus::log_index applied_;
     std::map<consensus::log_index, waiting_proposal> waiting_;
     std::map<std::uint64_t, std::function<void(std::optional<control::reply>)>> proposing_;
     std::uint64_t next_token_{0};
+    std::vector<instance_id> founders_; ///< open groups: the first voters, all with disk 0
     std::deque<std::pair<revision, config::change>> recent_;
     std::optional<instance_id> leader_hint_;
+    std::map<std::uint64_t, std::function<void(std::optional<config::document>)>> reading_;
+    document_listener on_document_;
+    group_listener on_group_;
+    group_view reported_;
     bool asking_configuration_{false};
     time_point next_join_{};
     mutable std::mutex published_mutex_;
--- a/include/tarragonspar/settings/instance_settings.hpp
+++ b/include/tarragonspar/settings/instance_settings.hpp
@@ -20,6 +20,13 @@
 /// @return nothing when the text has another shape or the port is out of range
 [[nodiscard]] std::optional<endpoint> parse_endpoint(std::string_view text);
 
+/// @brief The id of an instance that is known by its IPv4 address.
+/// @return nothing when the text is no IPv4 address
+[[nodiscard]] std::optional<instance_id> parse_instance_address(const std::string& text);
+
+/// @brief The IPv4 address that an id was made from.
+[[nodiscard]] std::string instance_address(instance_id id);
+
 /// @brief Writes `IP:port`.
 [[nodiscard]] std::string to_string(const endpoint& value);
 
@@ -29,6 +36,7 @@
     std::size_t max_body_bytes{8 * 1024 * 1024};
     std::size_t max_connections{20'000};
     std::chrono::milliseconds idle_timeout{60'000};
+    std::chrono::milliseconds header_timeout{10'000}; ///< from a request's first byte
     std::chrono::milliseconds write_timeout{30'000};
     std::size_t stream_buffer_events{256}; ///< answer events held for a slow reader
 };
@@ -55,6 +63,26 @@
     std::uint32_t max_file_megabytes{64};
 };
 
+/// What an instance does for the others.
+enum class instance_role : std::uint8_t {
+    whole,   ///< entry instance that also queues and, where asked for, keeps control state
+    entry,   ///< takes callers' requests on a platform that lists backend servers itself
+    control, ///< keeps control state and schedules for entry instances; callers never reach it
+};
+
+/// @brief What an instance on such a platform is told about its surroundings.
+struct deployment_settings {
+    endpoint readiness;               ///< entry: where readiness is asked for
+    endpoint metrics;                 ///< port 0: not served
+    std::vector<std::string> founders; ///< IPs of the first control instances, or of some of them
+    bool first_start{false};          ///< the deployment starts for the first time, with no state
+    endpoint server_list;             ///< where the platform lists backend servers
+    std::chrono::milliseconds grace{8'000}; ///< between SIGTERM and the end by force
+    double retry_ratio{0.2};                ///< repeats that a service's requests allow
+    double retry_slack{0.0};                ///< repeats allowed beyond, over all instances
+    std::chrono::milliseconds retry_window{10'000};
+};
+
 /// @brief Settings of one `tarragond`.
 struct instance_settings {
     instance_id id;
@@ -75,6 +103,8 @@
     std::chrono::milliseconds leave_notice{200}; ///< health check fails this long before draining
     std::string configuration_file;      ///< beside the settings file; in place of `configuration`
     config::configuration configuration; ///< used until a newer one is known
+    instance_role role{instance_role::whole};
+    deployment_settings deployment;      ///< roles other than `whole`
     bool test_hooks{false};              ///< allows tests to cut this instance off from others
 };
 
--- a/include/tarragonspar/telemetry/log.hpp
+++ b/include/tarragonspar/telemetry/log.hpp
@@ -13,6 +13,14 @@
 /// @brief Changes the level of a running program: `info`, `warning` or `error`.
 void set_log_level(const std::string& level);
 
+class log_line;
+
+/// @brief Writes a line to standard output.
+///
+/// Never waits: a thread of its own writes, lines wait for it in a bounded queue, and the oldest
+/// are dropped when nobody reads them. A line now and then says how many were dropped.
+void write(const log_line& line);
+
 /// @brief Builds one structured line of `key=value` pairs; values with spaces are quoted.
 class log_line {
 public:
--- a/include/tarragonspar/types/work.hpp
+++ b/include/tarragonspar/types/work.hpp
@@ -21,6 +21,8 @@
     std::vector<block_hash> blocks; ///< chain hashes of the prompt's whole blocks
     bool idempotent{true};          ///< whether the profile allows a second run
     std::uint8_t transfers{};       ///< times the item moved between owners
+    std::vector<server_id> avoid;   ///< servers that have failed this request already
+    std::uint32_t quota_units{};    ///< what it counts against its workspace's quota
 };
 
 /// @brief Chain hashes of the whole blocks in a prompt's text.
--- a/include/tarragonspar/wire/codec.hpp
+++ b/include/tarragonspar/wire/codec.hpp
@@ -1,5 +1,9 @@
 #pragma once
 
+#include <optional>
+#include <string>
+#include <string_view>
+
 #include "tarragonspar/dispatch/answer.hpp"
 #include "tarragonspar/dispatch/events.hpp"
 #include "tarragonspar/types/work.hpp"
@@ -18,6 +22,13 @@
 void write(schema::Work::Builder out, const work_item& value, time_point now);
 [[nodiscard]] work_item read(schema::Work::Reader in, time_point now);
 
+/// @brief A work item as bytes, for questions between instances.
+[[nodiscard]] std::string pack(const work_item& value, time_point now);
+
+/// @brief Reads what `pack` wrote.
+/// @return nothing when the bytes are not of that form
+[[nodiscard]] std::optional<work_item> unpack_work(std::string_view bytes, time_point now);
+
 void write(schema::Call::Builder out, const dispatch::call_body& value);
 [[nodiscard]] dispatch::call_body read(schema::Call::Reader in);
 
--- a/include/tarragonspar/wire/messages.hpp
+++ b/include/tarragonspar/wire/messages.hpp
@@ -25,7 +25,11 @@
     key_record,    ///< a key record to be kept as a backup
     lease,         ///< a renewal of leases, for the control leader
     request,       ///< state of a request
-    control_status ///< state of the control group
+    control_status, ///< state of the control group
+    published,      ///< the newest published document, proved to be the newest
+    entry_report,   ///< an entry instance's state, for news of the control group and servers
+    grant,          ///< a wish to dispatch a request, for the scheduler
+    grant_news      ///< what became of granted requests, for the scheduler
 };
 
 /// @brief The answer to a question; not known when the peer can't tell.
--- a/include/tarragonspar/wire/node.hpp
+++ b/include/tarragonspar/wire/node.hpp
@@ -15,11 +15,15 @@
     instance_id self;
     settings::endpoint listen;
     std::map<instance_id, settings::endpoint> peers;
+    /// Address of an instance that is not among `peers`, where ids tell it.
+    std::function<std::optional<settings::endpoint>(instance_id)> locate;
     settings::tls_files tls;
     std::chrono::milliseconds connect_timeout{500};
     std::chrono::milliseconds call_timeout{1'000}; ///< of short calls
     std::chrono::milliseconds run_timeout{35'000}; ///< of questions that wait for a request's end
     std::chrono::milliseconds heartbeat{500};      ///< on connections with requests under way
+    /// A connection that gave no answer for this long is replaced when a call on it times out.
+    std::chrono::milliseconds stale_connection{700};
     std::chrono::milliseconds silence_timeout{3'000}; ///< before a peer's requests count as lost
 };
 
--- a/include/tarragonspar/wire/schema/instance.capnp.h
+++ b/include/tarragonspar/wire/schema/instance.capnp.h
@@ -83,7 +83,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9f94c6cef8b46c80, 7, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9f94c6cef8b46c80, 7, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -722,6 +722,11 @@
 
   inline  ::uint8_t getTransfers() const;
 
+  inline bool hasAvoid() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getAvoid() const;
+
+  inline  ::uint32_t getQuotaUnits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -795,6 +800,17 @@
   inline  ::uint8_t getTransfers();
   inline void setTransfers( ::uint8_t value);
 
+  inline bool hasAvoid();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getAvoid();
+  inline void setAvoid( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setAvoid(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initAvoid(unsigned int size);
+  inline void adoptAvoid(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownAvoid();
+
+  inline  ::uint32_t getQuotaUnits();
+  inline void setQuotaUnits( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3784,6 +3800,58 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Work::Reader::hasAvoid() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Work::Builder::hasAvoid() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Work::Reader::getAvoid() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Work::Builder::getAvoid() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Work::Builder::setAvoid( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void Work::Builder::setAvoid(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Work::Builder::initAvoid(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Work::Builder::adoptAvoid(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Work::Builder::disownAvoid() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Work::Reader::getQuotaUnits() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Work::Builder::getQuotaUnits() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void Work::Builder::setQuotaUnits( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Call::Reader::getPlain() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/schema/instance.capnp
+++ b/schema/instance.capnp
@@ -24,6 +24,9 @@
   blocks @9 :List(UInt64);
   idempotent @10 :Bool;
   transfers @11 :UInt8;
+  avoid @12 :List(UInt32);
+  # Servers that have failed this request already.
+  quotaUnits @13 :UInt32;
 }
 
 struct Call {
--- /dev/null
+++ b/src/admission/quota.cpp
@@ -0,0 +1,58 @@
+#include "tarragonspar/admission/quota.hpp"
+
+#include <algorithm>
+
+namespace tarragonspar::admission {
+
+namespace {
+
+void refill(quota_table::bucket& target, time_point now) {
+    const auto elapsed = std::max(0.0, to_seconds(now - target.updated));
+    target.units =
+        std::min(target.limit.burst, target.units + elapsed * target.limit.units_per_second);
+    target.updated = now;
+}
+
+} // namespace
+
+void set_limits(quota_table& target, const std::unordered_map<workspace_id, quota_limit>& limits,
+                time_point now) {
+    std::erase_if(target.buckets, [&](const auto& item) { return !limits.contains(item.first); });
+    for (const auto& [workspace, limit] : limits) {
+        const auto [found, fresh] = target.buckets.try_emplace(
+            workspace,
+            quota_table::bucket{.limit = limit, .units = limit.burst, .updated = now});
+        if (!fresh) {
+            refill(found->second, now);
+            found->second.limit = limit;
+            found->second.units = std::min(found->second.units, limit.burst);
+        }
+    }
+}
+
+duration take(quota_table& target, workspace_id workspace, std::uint32_t units, time_point now) {
+    const auto found = target.buckets.find(workspace);
+    if (found == target.buckets.end()) {
+        return {};
+    }
+    auto& bucket = found->second;
+    refill(bucket, now);
+    // A request larger than the burst passes when the bucket is full, and leaves a debt.
+    const auto needed = std::min<double>(units, bucket.limit.burst);
+    if (bucket.units >= needed) {
+        bucket.units -= units;
+        return {};
+    }
+    const auto missing = needed - bucket.units;
+    return std::max(duration{1}, from_seconds(missing / bucket.limit.units_per_second));
+}
+
+void give_back(quota_table& target, workspace_id workspace, std::uint32_t units) {
+    const auto found = target.buckets.find(workspace);
+    if (found != target.buckets.end()) {
+        auto& bucket = found->second;
+        bucket.units = std::min(bucket.limit.burst, bucket.units + units);
+    }
+}
+
+} // namespace tarragonspar::admission
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -103,6 +103,7 @@
            {"offers", value.offers},
            {"hardware_class", value.hardware_class},
            {"slots", value.slots},
+           {"slots_are_exact", value.slots_are_exact},
            {"checks_fencing", value.checks_fencing}};
 }
 
@@ -116,6 +117,7 @@
     value.offers = in.at("offers").get<std::vector<std::string>>();
     value.hardware_class = in.value("hardware_class", "");
     value.slots = in.value("slots", 8U);
+    value.slots_are_exact = in.value("slots_are_exact", false);
     value.checks_fencing = in.value("checks_fencing", false);
 }
 
--- a/src/control/state.cpp
+++ b/src/control/state.cpp
@@ -19,6 +19,9 @@
     if (const auto* wanted = std::get_if<idempotency::claim>(&what)) {
         return idempotency::apply(target.keys, *wanted);
     }
+    if (const auto* published = std::get_if<config::document>(&what)) {
+        return config::apply(target.published, *published);
+    }
     idempotency::apply(target.keys, std::get<idempotency::settlement>(what));
     return std::monostate{};
 }
@@ -36,8 +39,10 @@
         return in.at(1).get<config::change>();
     case 1:
         return in.at(1).get<idempotency::claim>();
-    default:
+    case 2:
         return in.at(1).get<idempotency::settlement>();
+    default:
+        return in.at(1).get<config::document>();
     }
 }
 
@@ -47,6 +52,8 @@
         out.push_back(*answer);
     } else if (const auto* claimed = std::get_if<idempotency::claim_answer>(&value)) {
         out.push_back(*claimed);
+    } else if (const auto* published = std::get_if<config::document_answer>(&value)) {
+        out.push_back(*published);
     }
     return cbor::encode(out);
 }
@@ -58,19 +65,22 @@
         return std::monostate{};
     case 1:
         return in.at(1).get<config::change_answer>();
-    default:
+    case 2:
         return in.at(1).get<idempotency::claim_answer>();
+    default:
+        return in.at(1).get<config::document_answer>();
     }
 }
 
 std::string encode(const state& value) {
-    return cbor::encode(json::array({value.configuration, value.keys}));
+    return cbor::encode(json::array({value.configuration, value.keys, value.published}));
 }
 
 state decode_state(const std::string& bytes) {
     const auto in = json::from_cbor(bytes);
     return {.configuration = in.at(0).get<config::state>(),
-            .keys = in.at(1).get<idempotency::key_table>()};
+            .keys = in.at(1).get<idempotency::key_table>(),
+            .published = in.size() > 2 ? in.at(2).get<config::document>() : config::document{}};
 }
 
 } // namespace tarragonspar::control
--- /dev/null
+++ b/src/dispatch/grant_desk.cpp
@@ -0,0 +1,186 @@
+#include "tarragonspar/dispatch/grant_desk.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace tarragonspar::dispatch {
+
+namespace {
+
+/// Silence after which a holder's requests no longer count against servers. Above a short freeze
+/// or cut, so that its running requests are not forgotten while they still take slots.
+constexpr duration silent_holder = std::chrono::seconds{4};
+/// Time for which a grant may be missing from its holder's reports: a report may have been on its
+/// way when the grant was given.
+constexpr duration missing_grant = std::chrono::milliseconds{1'500};
+
+void take_effects(grant_desk& target, const std::vector<effect>& effects,
+                  std::vector<decision>& out) {
+    for (const auto& item : effects) {
+        if (const auto* start = std::get_if<start_dispatch>(&item)) {
+            const auto& server = target.servers.at(start->server);
+            out.push_back({.id = start->id,
+                           .what = grant{.server = server.id,
+                                         .server_name = server.name,
+                                         .address = server.address}});
+        } else if (const auto* no = std::get_if<refuse>(&item)) {
+            out.push_back({.id = no->id,
+                           .what = refusal{.why = no->why, .retry_after = no->retry_after}});
+        }
+    }
+}
+
+void send(grant_desk& target, const event& what, time_point now, std::vector<decision>& out) {
+    std::vector<effect> effects;
+    step(target.decisions, what, now, effects);
+    take_effects(target, effects, out);
+}
+
+void forget(grant_desk& target, const std::vector<request_id>& ids, time_point now,
+            std::vector<decision>& out) {
+    for (const auto& id : ids) {
+        if (target.decisions.running.contains(id)) {
+            send(target, ended{.id = id, .whole = false, .server_fault = false}, now, out);
+        } else {
+            send(target, withdrawn{.id = id}, now, out);
+        }
+    }
+}
+
+/// Requests of a holder, running and waiting, that `wanted` picks.
+std::vector<request_id> pick(const grant_desk& source,
+                             const std::function<bool(const request_id&, bool running)>& wanted) {
+    std::vector<request_id> ids;
+    for (const auto& [id, item] : source.decisions.running) {
+        if (wanted(id, true)) {
+            ids.push_back(id);
+        }
+    }
+    for (const auto& [id, model] : source.decisions.queued_model) {
+        if (wanted(id, false)) {
+            ids.push_back(id);
+        }
+    }
+    std::sort(ids.begin(), ids.end());
+    return ids;
+}
+
+} // namespace
+
+void set_servers(grant_desk& target, const std::vector<config::server>& servers, time_point now,
+                 std::vector<decision>& out) {
+    target.servers.clear();
+    for (const auto& server : servers) {
+        target.servers.emplace(server.id, server);
+    }
+    send(target, ownership_changed{.owned = servers, .limits = {}}, now, out);
+}
+
+void ask(grant_desk& target, const work_item& work, earlier_grant earlier, time_point now,
+         std::vector<decision>& out) {
+    if (earlier == earlier_grant::not_connected) {
+        if (target.decisions.running.contains(work.id)) {
+            send(target, dispatch_failed{.id = work.id}, now, out);
+            return;
+        }
+    } else if (earlier == earlier_grant::server_failed) {
+        send(target, ended{.id = work.id, .whole = false, .server_fault = true}, now, out);
+    } else if (const auto wait =
+                   admission::take(target.quotas, work.workspace, work.quota_units, now);
+               wait > duration{}) {
+        out.push_back({.id = work.id,
+                       .what = refusal{.why = reason::workspace_limit, .retry_after = wait}});
+        return;
+    }
+    std::vector<decision> made;
+    send(target, arrived{.work = work}, now, made);
+    for (const auto& item : made) {
+        if (item.id == work.id && std::holds_alternative<refusal>(item.what)) {
+            admission::give_back(target.quotas, work.workspace, work.quota_units);
+        }
+    }
+    out.insert(out.end(), made.begin(), made.end());
+}
+
+void note(grant_desk& target, const grant_news& news, time_point now, std::vector<decision>& out) {
+    switch (news.kind) {
+    case grant_news::what::withdrawn:
+        forget(target, {news.id}, now, out);
+        return;
+    case grant_news::what::first_token:
+        send(target, first_token{.id = news.id, .cached = std::nullopt}, now, out);
+        return;
+    case grant_news::what::done:
+        send(target, progressed{.id = news.id, .generated = news.generated}, now, out);
+        send(target, ended{.id = news.id, .whole = true, .generated = news.generated}, now, out);
+        return;
+    case grant_news::what::failed:
+        send(target,
+             ended{.id = news.id, .whole = false, .server_fault = news.server_fault}, now, out);
+        return;
+    }
+}
+
+void reconcile(grant_desk& target, const holder_report& report, time_point now,
+               std::vector<decision>& out) {
+    auto& holder = target.holders[report.holder];
+    const auto restarted = holder.started_as != report.started_as;
+    holder.started_as = report.started_as;
+    holder.heard = now;
+    std::set<std::uint64_t> open(report.waiting.begin(), report.waiting.end());
+    for (const auto& item : report.running) {
+        open.insert(item.work.id.sequence);
+    }
+    if (restarted) {
+        holder.missing.clear();
+    }
+    std::map<std::uint64_t, time_point> missing;
+    const auto lost = pick(target, [&](const request_id& id, bool) {
+        if (id.issuer != report.holder) {
+            return false;
+        }
+        if (id.issued_in != report.started_as) {
+            return true;
+        }
+        if (open.contains(id.sequence)) {
+            return false;
+        }
+        const auto known = holder.missing.find(id.sequence);
+        const auto since = known == holder.missing.end() ? now : known->second;
+        if (now - since > missing_grant) {
+            return true;
+        }
+        missing.emplace(id.sequence, since);
+        return false;
+    });
+    holder.missing = std::move(missing);
+    forget(target, lost, now, out);
+    for (const auto& item : report.running) {
+        send(target, adopted{.work = item.work, .server = item.server}, now, out);
+    }
+}
+
+void tick(grant_desk& target, time_point now, std::vector<decision>& out) {
+    std::set<instance_id> silent;
+    for (const auto& [id, holder] : target.holders) {
+        if (now - holder.heard > silent_holder) {
+            silent.insert(id);
+        }
+    }
+    if (!silent.empty()) {
+        forget(target,
+               pick(target, [&](const request_id& id, bool) { return silent.contains(id.issuer); }),
+               now, out);
+        std::erase_if(target.holders, [&](const auto& item) { return silent.contains(item.first); });
+    }
+    send(target, ticked{}, now, out);
+}
+
+std::uint32_t holder_count(const grant_desk& source, time_point now) {
+    return static_cast<std::uint32_t>(
+        std::count_if(source.holders.begin(), source.holders.end(), [&](const auto& item) {
+            return now - item.second.heard <= silent_holder;
+        }));
+}
+
+} // namespace tarragonspar::dispatch
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -96,7 +96,19 @@
     return present != source.in_system.end() && present->second >= limit->second;
 }
 
-void enqueue(scheduler& target, const work_item& work, int failed_dispatches) {
+/// Whether some server that a request need not avoid could serve it.
+bool has_alternative(const scheduler& source, const work_item& work) {
+    return std::any_of(source.servers.begin(), source.servers.end(), [&](const auto& entry) {
+        return entry.second.state == config::server_state::active &&
+               routing::offers(entry.second, work.model) &&
+               std::find(work.avoid.begin(), work.avoid.end(), entry.first) == work.avoid.end();
+    });
+}
+
+void enqueue(scheduler& target, work_item work, int failed_dispatches) {
+    if (!work.avoid.empty() && !has_alternative(target, work)) {
+        work.avoid.clear(); // a server that failed once is better than none
+    }
     auto& pool = pool_of(target, work.model);
     pool.queue.push({.work = work,
                      .cost_seconds = detail::service_seconds(target, work),
@@ -156,7 +168,8 @@
     routing::server_model* chosen = nullptr;
     std::optional<duration> best_after_wait;
     for (auto& [id, server] : target.servers) {
-        if (!routing::offers(server, work.model)) {
+        if (!routing::offers(server, work.model) ||
+            std::find(work.avoid.begin(), work.avoid.end(), id) != work.avoid.end()) {
             continue;
         }
         if (!routing::has_room(server, now)) {
@@ -168,7 +181,8 @@
             }
             continue;
         }
-        if (!work.idempotent && routing::is_on_trial(server.breaker) && target.servers.size() > 1) {
+        if (!work.idempotent && routing::is_on_trial(server.breaker) && !server.keep_in_use &&
+            target.servers.size() > 1) {
             continue;
         }
         const auto predicted = routing::predict(server, work, output);
@@ -260,7 +274,35 @@
     return best == nullptr ? std::nullopt : std::optional{best->work.model};
 }
 
+/// Ejects servers only while most of their service is left: when half or more fail, the fault is
+/// likely not theirs alone, and the rest could not bear the load.
+void bound_ejection(scheduler& target, time_point now) {
+    struct counts {
+        std::size_t all{};
+        std::size_t open{};
+    };
+    std::map<model_id, counts> by_model;
+    for (const auto& [id, server] : target.servers) {
+        if (server.state != config::server_state::active) {
+            continue;
+        }
+        for (const auto model : server.offers) {
+            auto& count = by_model[model];
+            ++count.all;
+            count.open += routing::allows(server.breaker, now) ? 0 : 1;
+        }
+    }
+    for (auto& [id, server] : target.servers) {
+        server.keep_in_use = std::any_of(
+            server.offers.begin(), server.offers.end(), [&](model_id model) {
+                const auto& count = by_model[model];
+                return count.open * 2 >= count.all && count.open > 0;
+            });
+    }
+}
+
 void dispatch_ready(scheduler& target, time_point now, std::vector<effect>& effects) {
+    bound_ejection(target, now);
     detail::expire(target, now, effects);
     std::vector<model_id> exhausted;
     while (const auto model = most_urgent_model(target, exhausted, now)) {
@@ -367,9 +409,10 @@
     if (found == target.running.end()) {
         return;
     }
-    const auto item = std::move(found->second);
+    auto item = std::move(found->second);
     target.running.erase(found);
     release_slot(target, item);
+    item.work.avoid.push_back(item.server);
     if (const auto server = target.servers.find(item.server); server != target.servers.end()) {
         routing::on_failure(server->second.breaker, now);
         server->second.cache.evict(item.work.blocks);
@@ -564,6 +607,27 @@
     detail::drain_queue(target, now, effects);
 }
 
+void handle(scheduler& target, const adopted& what, time_point now, std::vector<effect>&) {
+    const auto known =
+        target.queued_model.contains(what.work.id) || target.running.contains(what.work.id);
+    const auto found = target.servers.find(what.server);
+    if (known || found == target.servers.end()) {
+        return;
+    }
+    ++found->second.in_flight;
+    ++target.in_system[what.work.workspace];
+    // Nothing is learned from a request whose beginning was not seen.
+    running_item running{.work = what.work, .server = what.server, .started = now};
+    running.has_first_token = true;
+    running.first_token_at = now;
+    running.observed_at = now;
+    if (is_top(what.work)) {
+        update_peak(pool_of(target, what.work.model).top_tier, +1,
+                    target.options.reserve_decay_per_second, now);
+    }
+    target.running.emplace(what.work.id, std::move(running));
+}
+
 void handle(scheduler& target, const ticked&, time_point now, std::vector<effect>& effects) {
     dispatch_ready(target, now, effects);
     detail::offload(target, now, effects);
--- /dev/null
+++ b/src/gateway/control_instance.cpp
@@ -0,0 +1,309 @@
+#include "tarragonspar/gateway/control_instance.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include "tarragonspar/gateway/plumbing.hpp"
+#include "tarragonspar/gateway/reports.hpp"
+#include "tarragonspar/runtime/await_reply.hpp"
+#include "tarragonspar/runtime/clock.hpp"
+#include "tarragonspar/telemetry/log.hpp"
+
+namespace tarragonspar::gateway {
+
+namespace asio = boost::asio;
+using runtime::now;
+
+namespace {
+
+/// Time after which an operator is told that a publication's fate is not known. Operators go on to
+/// another instance on their own after a second or so.
+constexpr auto publish_limit = std::chrono::milliseconds{3'000};
+constexpr auto read_limit = std::chrono::milliseconds{900};
+/// Time for which a new leader lets holders report what they run before it grants anything.
+constexpr duration takeover_pause = std::chrono::milliseconds{400};
+
+http::reply plain(unsigned status, std::string body = "{}") {
+    http::reply out;
+    out.status = status;
+    out.body = std::move(body);
+    return out;
+}
+
+} // namespace
+
+control_instance::control_instance(settings::instance_settings settings,
+                                   std::unique_ptr<const dialect> speaks)
+    : settings_(std::move(settings)), speaks_(std::move(speaks)), context_(1),
+      keep_running_(asio::make_work_guard(context_)) {
+    node_ = std::make_unique<wire::node>(make_node_options(settings_),
+                                         static_cast<wire::handler&>(*this));
+    runtime::control_options options;
+    options.self = settings_.id;
+    options.replica = true;
+    options.open_group = true;
+    options.data_folder = settings_.data_folder;
+    for (const auto id : founders_of(settings_)) {
+        if (id == settings_.id) {
+            options.may_found = settings_.deployment.first_start;
+        } else {
+            options.replicas.push_back(id);
+        }
+    }
+    control_ = std::make_shared<runtime::control_service>(
+        std::move(options), *node_, [](std::shared_ptr<const config::state>) {});
+    control_->listen(
+        [this](config::document newest) {
+            asio::post(context_, [this, newest = std::move(newest)] { on_document(newest); });
+        },
+        [this](runtime::control_service::group_view group) {
+            asio::post(context_, [this, group = std::move(group)] { on_group(group); });
+        });
+    desk_ = std::make_shared<desk_service>(context_);
+    directory_options list;
+    list.list = settings_.deployment.server_list;
+    directory_ = std::make_shared<server_directory>(
+        context_, list, *speaks_,
+        [this](std::vector<config::server> servers) { on_servers(std::move(servers)); });
+}
+
+control_instance::~control_instance() {
+    context_.stop();
+    if (thread_.joinable()) {
+        thread_.join();
+    }
+    control_->stop();
+    node_->stop();
+}
+
+std::string control_instance::start() {
+    if (auto fault = node_->start(); !fault.empty()) {
+        return "the address for other instances: " + fault;
+    }
+    try {
+        http::server_options options;
+        options.listen = settings_.http;
+        options.limits = settings_.limits;
+        server_ = std::make_shared<http::server>(
+            context_, options, [this](http::exchange& with) { return handle(with); });
+        metrics_server_ = make_metrics_server(context_, settings_, metrics_);
+    } catch (const std::exception& error) {
+        return std::string("an address for HTTP: ") + error.what();
+    }
+    if (auto fault = control_->start(); !fault.empty()) {
+        return "the data folder: " + fault;
+    }
+    server_->start();
+    if (metrics_server_) {
+        metrics_server_->start();
+    }
+    thread_ = std::thread([this] { context_.run(); });
+    log_start(settings_, "control");
+    return {};
+}
+
+void control_instance::shut_down() {
+    telemetry::write(telemetry::log_line("stopping").add("role", "control"));
+    asio::post(context_, [this] {
+        leaving_ = true;
+        directory_->stop();
+        desk_->forget_all();
+    });
+    server_->close_idle();
+    server_->stop_accepting();
+    // Answers that are ready now still leave; operators ask another instance for the rest.
+    constexpr auto last_answers = std::chrono::milliseconds{150};
+    std::this_thread::sleep_for(last_answers);
+    telemetry::write(telemetry::log_line("stopped").add("role", "control"));
+}
+
+void control_instance::reload(const settings::instance_settings& fresh) {
+    telemetry::set_log_level(fresh.log.level);
+    telemetry::write(telemetry::log_line("reloaded").add("level", fresh.log.level));
+}
+
+// --- news of the group, the document and the servers ---
+
+void control_instance::on_document(config::document newest) {
+    if (newest.number <= newest_.number) {
+        return; // a replica that reads its log again comes by older ones
+    }
+    const auto read = speaks_->read_catalogue(newest.content);
+    newest_ = std::move(newest);
+    desk_->set_quotas(read.value, 1.0);
+    metrics_.set_revision(newest_.number.value);
+}
+
+void control_instance::on_group(runtime::control_service::group_view group) {
+    const auto led = group_.leads;
+    group_ = std::move(group);
+    if (group_.leads && !led) {
+        leads_since_ = now();
+        servers_.clear();
+        servers_mark_ = 0;
+    }
+    if (!group_.leads && led) {
+        // Holders ask elsewhere when their questions are answered with "not known".
+        desk_->forget_all();
+    }
+    directory_->set_wanted(group_.leads && !leaving_);
+}
+
+void control_instance::on_servers(std::vector<config::server> servers) {
+    const auto mark = mark_of(servers);
+    if (mark == servers_mark_) {
+        return;
+    }
+    log_server_changes(servers_, servers);
+    servers_ = std::move(servers);
+    servers_mark_ = mark;
+    desk_->set_servers(servers_);
+}
+
+bool control_instance::schedules() const {
+    return group_.leads && !leaving_ && servers_mark_ != 0 && now() - leads_since_ > takeover_pause;
+}
+
+// --- questions of other instances ---
+
+void control_instance::answer_report(const std::string& payload,
+                                     const std::function<void(wire::answer)>& reply) {
+    const auto report = unpack_report(payload, now());
+    if (!report) {
+        reply({});
+        return;
+    }
+    if (group_.leads) {
+        desk_->reconcile(report->open);
+    }
+    control_news news;
+    news.schedules = schedules();
+    news.leader = group_.leader;
+    news.members = group_.members;
+    news.members.push_back(settings_.id);
+    news.entry_instances = desk_->holders();
+    if (newest_.number > report->document) {
+        news.document = newest_;
+    }
+    news.servers_mark = servers_mark_;
+    if (servers_mark_ != 0 && servers_mark_ != report->servers_mark) {
+        news.servers = servers_;
+    }
+    reply({.known = true, .payload = pack(news)});
+}
+
+void control_instance::answer_grant(const std::string& payload,
+                                    std::function<void(wire::answer)> reply) {
+    const auto question = unpack_question(payload, now());
+    if (!question || !schedules()) {
+        reply({});
+        return;
+    }
+    desk_->ask(question->work, question->earlier,
+               [reply = std::move(reply)](const dispatch::verdict& what) {
+                   reply({.known = true, .payload = pack(what)});
+               });
+}
+
+void control_instance::on_question(instance_id, wire::topic about, std::string payload,
+                                   std::function<void(wire::answer)> reply) {
+    switch (about) {
+    case wire::topic::entry_report:
+        asio::post(context_, [this, payload = std::move(payload), reply = std::move(reply)] {
+            answer_report(payload, reply);
+        });
+        return;
+    case wire::topic::grant:
+        asio::post(context_, [this, payload = std::move(payload), reply = std::move(reply)] {
+            answer_grant(payload, reply);
+        });
+        return;
+    case wire::topic::grant_news:
+        asio::post(context_, [this, payload = std::move(payload)] {
+            if (const auto news = unpack_grant_news(payload)) {
+                desk_->note(*news);
+            }
+        });
+        reply({.known = true, .payload = {}});
+        return;
+    default:
+        control_->on_question(about, payload, std::move(reply));
+    }
+}
+
+void control_instance::on_consensus(instance_id, std::string messages) {
+    control_->on_messages(messages);
+}
+
+void control_instance::on_probe(instance_id, std::function<void(bool)> reply) {
+    reply(true);
+}
+
+// Instances of this kind forward no requests and don't gossip.
+
+void control_instance::on_enqueue(instance_id, work_item, dispatch::call_body,
+                                  std::shared_ptr<wire::remote_request> request) {
+    request->conclude(dispatch::refuse{.why = reason::no_server});
+}
+
+void control_instance::on_withdraw(instance_id, const request_id&) {}
+
+void control_instance::on_gossip(instance_id, wire::gossip_message message,
+                                 std::function<void(wire::gossip_message)> reply) {
+    reply(std::move(message));
+}
+
+// --- operators ---
+
+asio::awaitable<void> control_instance::handle(http::exchange& with) {
+    auto call = speaks_->read_operator_call(with.request());
+    if (auto* published = std::get_if<publish_call>(&call)) {
+        co_await publish(with, std::move(published->content));
+        co_return;
+    }
+    if (std::holds_alternative<read_call>(call)) {
+        co_await read_newest(with);
+        co_return;
+    }
+    auto unknown = plain(404, R"({"title":"no such call"})");
+    co_await with.respond(std::move(unknown));
+}
+
+asio::awaitable<void> control_instance::publish(http::exchange& with, std::string content) {
+    auto read = speaks_->read_catalogue(content);
+    if (read.faults.empty()) {
+        read.faults = config::find_faults(read.value);
+    }
+    if (!read.faults.empty()) {
+        telemetry::write(telemetry::log_line("document_refused")
+                             .add("number", static_cast<std::int64_t>(read.value.number.value))
+                             .add("why", read.faults.front()));
+        auto refused = http::format_error(400, read.faults.front());
+        co_await with.respond(std::move(refused));
+        co_return;
+    }
+    const auto number = read.value.number;
+    config::document document{.number = number, .content = std::move(content)};
+    std::function<void(std::function<void(bool)>)> start = [&](std::function<void(bool)> done) {
+        control_->publish(std::move(document), std::move(done));
+    };
+    const bool taken = co_await await_bounded<bool>(context_, publish_limit, false, std::move(start));
+    telemetry::write(telemetry::log_line("document_published")
+                         .add("number", static_cast<std::int64_t>(number.value))
+                         .add("acknowledged", taken ? 1 : 0));
+    auto answer = taken ? plain(200) : plain(503, R"({"title":"no majority answers"})");
+    co_await with.respond(std::move(answer));
+}
+
+asio::awaitable<void> control_instance::read_newest(http::exchange& with) {
+    using result = std::optional<config::document>;
+    std::function<void(std::function<void(result)>)> start =
+        [&](std::function<void(result)> done) { control_->read_published(std::move(done)); };
+    const auto newest =
+        co_await await_bounded<result>(context_, read_limit, std::nullopt, std::move(start));
+    const auto known = newest && newest->number.value > 0;
+    auto answer = known ? plain(200, newest->content)
+                        : plain(503, R"({"title":"the newest document can't be proved"})");
+    co_await with.respond(std::move(answer));
+}
+
+} // namespace tarragonspar::gateway
--- /dev/null
+++ b/src/gateway/control_link.cpp
@@ -0,0 +1,234 @@
+#include "tarragonspar/gateway/control_link.hpp"
+
+#include <algorithm>
+
+#include <boost/asio/post.hpp>
+
+#include "tarragonspar/gateway/plumbing.hpp"
+#include "tarragonspar/runtime/clock.hpp"
+#include "tarragonspar/telemetry/log.hpp"
+
+namespace tarragonspar::gateway {
+
+namespace asio = boost::asio;
+using runtime::now;
+
+namespace {
+
+/// Pause between two reports. A published document is in force everywhere one pause and a round
+/// trip after it was accepted, well within the two seconds that users allow.
+constexpr auto report_interval = std::chrono::milliseconds{250};
+/// Pause while no leader is known: short, since grants are poorer meanwhile.
+constexpr auto search_interval = std::chrono::milliseconds{100};
+/// Silence of the leader after which grants are given here.
+constexpr duration leader_silence = std::chrono::milliseconds{1'200};
+/// Age of the list of servers from which on it is read here.
+constexpr duration list_silence = std::chrono::milliseconds{1'500};
+
+} // namespace
+
+control_link::control_link(asio::io_context& context, instance_id self, wire::node& node,
+                           std::vector<instance_id> contacts, hooks uses)
+    : context_(context), self_(self), node_(node), uses_(std::move(uses)), timer_(context),
+      contacts_(std::move(contacts)), list_heard_(now()),
+      own_desk_(std::make_shared<desk_service>(context)) {
+    next_contact_ = contacts_.empty() ? 0 : self_.value % contacts_.size();
+}
+
+void control_link::start() {
+    choose_target(std::nullopt);
+    report();
+}
+
+void control_link::stop() {
+    stopped_ = true;
+    timer_.cancel();
+}
+
+void control_link::add_contacts(const std::vector<instance_id>& contacts) {
+    for (const auto id : contacts) {
+        if (std::find(contacts_.begin(), contacts_.end(), id) == contacts_.end()) {
+            contacts_.push_back(id);
+        }
+    }
+}
+
+void control_link::choose_target(std::optional<instance_id> leader) {
+    if (leader) {
+        target_ = leader;
+    } else if (!contacts_.empty()) {
+        next_contact_ = (next_contact_ + 1) % contacts_.size();
+        target_ = contacts_[next_contact_];
+    }
+}
+
+void control_link::report() {
+    if (stopped_) {
+        return;
+    }
+    if (scheduler_ && now() - scheduler_heard_ > leader_silence) {
+        set_scheduler(std::nullopt);
+    }
+    uses_.on_list_wanted(now() - list_heard_ > list_silence);
+    timer_.expires_after(scheduler_ ? report_interval : search_interval);
+    timer_.async_wait([self = weak_from_this()](boost::system::error_code error) {
+        const auto held = self.lock();
+        if (!error && held) {
+            held->report();
+        }
+    });
+    if (!target_) {
+        return;
+    }
+    const entry_report what{.open = uses_.open_requests(),
+                            .document = document_,
+                            .servers_mark = servers_mark_};
+    node_.ask(*target_, wire::topic::entry_report, pack(what, now()),
+              [self = shared_from_this(), from = *target_](std::optional<wire::answer> answer) {
+                  asio::post(self->context_, [self, from, answer = std::move(answer)] {
+                      self->on_news(from, answer);
+                  });
+              });
+}
+
+void control_link::on_news(instance_id from, std::optional<wire::answer> answer) {
+    const auto news =
+        answer && answer->known ? unpack_news(answer->payload) : std::optional<control_news>{};
+    if (!news) {
+        if (target_ == from && scheduler_ != from) {
+            choose_target(std::nullopt);
+        }
+        return;
+    }
+    add_contacts(news->members);
+    if (news->schedules && news->entry_instances != entry_instances_ &&
+        news->entry_instances > 0) {
+        entry_instances_ = news->entry_instances;
+        uses_.on_size(entry_instances_);
+        share_servers();
+    }
+    if (news->document) {
+        uses_.on_document(*news->document);
+    }
+    if (news->servers) {
+        list_heard_ = now();
+        set_servers(*news->servers);
+    } else if (news->servers_mark != 0 && news->servers_mark == servers_mark_) {
+        list_heard_ = now();
+    }
+    if (news->schedules) {
+        scheduler_heard_ = now();
+        set_scheduler(from);
+        target_ = from;
+        return;
+    }
+    if (scheduler_ == from) {
+        set_scheduler(std::nullopt);
+    }
+    if (target_ == from) {
+        const auto elsewhere = news->leader && *news->leader != from;
+        choose_target(elsewhere ? news->leader : std::optional<instance_id>{});
+    }
+}
+
+void control_link::set_scheduler(std::optional<instance_id> scheduler) {
+    if (scheduler == scheduler_) {
+        return;
+    }
+    scheduler_ = scheduler;
+    telemetry::write(
+        telemetry::log_line(scheduler ? "scheduler_found" : "scheduler_lost")
+            .add("scheduler", scheduler ? settings::instance_address(*scheduler) : "own")
+            .add("entry_instances", static_cast<std::int64_t>(entry_instances_)));
+    if (!scheduler) {
+        choose_target(std::nullopt);
+        return;
+    }
+    // What waits here waits better in the one queue over all servers.
+    auto waiting = std::exchange(local_, {});
+    for (auto& [id, item] : waiting) {
+        own_desk_->note({.id = id, .kind = dispatch::grant_news::what::withdrawn});
+        ask_remotely(item.work, item.earlier, std::move(item.answer));
+    }
+}
+
+void control_link::ask(const work_item& work, dispatch::earlier_grant earlier,
+                       desk_service::reply answer) {
+    if (scheduler_) {
+        ask_remotely(work, earlier, std::move(answer));
+    } else {
+        ask_locally(work, earlier, std::move(answer));
+    }
+}
+
+void control_link::ask_remotely(const work_item& work, dispatch::earlier_grant earlier,
+                                desk_service::reply answer) {
+    const auto asked = *scheduler_;
+    const grant_question question{.work = work, .earlier = earlier};
+    node_.ask(asked, wire::topic::grant, pack(question, now()),
+              [self = shared_from_this(), work, earlier, answer = std::move(answer),
+               asked](std::optional<wire::answer> said) {
+                  asio::post(self->context_, [self, work, earlier, answer, asked, said] {
+                      const auto what = said && said->known ? unpack_verdict(said->payload)
+                                                            : std::optional<dispatch::verdict>{};
+                      if (what) {
+                          answer(*what);
+                          return;
+                      }
+                      if (self->scheduler_ == asked) {
+                          self->set_scheduler(std::nullopt);
+                      }
+                      self->ask(work, earlier, answer);
+                  });
+              });
+}
+
+void control_link::ask_locally(const work_item& work, dispatch::earlier_grant earlier,
+                               desk_service::reply answer) {
+    local_.insert_or_assign(work.id,
+                            waiting_locally{.work = work, .earlier = earlier, .answer = answer});
+    own_desk_->ask(work, earlier,
+                   [self = shared_from_this(), id = work.id,
+                    answer = std::move(answer)](const dispatch::verdict& what) {
+                       self->local_.erase(id);
+                       answer(what);
+                   });
+}
+
+void control_link::note(const dispatch::grant_news& news) {
+    local_.erase(news.id);
+    own_desk_->note(news);
+    if (scheduler_) {
+        node_.ask(*scheduler_, wire::topic::grant_news, pack(news),
+                  [](std::optional<wire::answer>) {});
+    }
+}
+
+void control_link::set_document(config::document_number in_force,
+                                const config::catalogue& content) {
+    document_ = in_force;
+    own_desk_->set_quotas(content, 1.0 / std::max(1U, entry_instances_));
+}
+
+void control_link::set_servers(std::vector<config::server> servers) {
+    const auto mark = mark_of(servers);
+    list_heard_ = now();
+    if (mark == servers_mark_) {
+        return;
+    }
+    log_server_changes(servers_, servers);
+    servers_ = std::move(servers);
+    servers_mark_ = mark;
+    share_servers();
+}
+
+void control_link::share_servers() {
+    auto shared = servers_;
+    for (auto& server : shared) {
+        // Every entry instance may use this share at once without overrunning the server.
+        server.slots = std::max(1U, server.slots / std::max(1U, entry_instances_));
+    }
+    own_desk_->set_servers(shared);
+}
+
+} // namespace tarragonspar::gateway
--- /dev/null
+++ b/src/gateway/entry_instance.cpp
@@ -0,0 +1,214 @@
+#include "tarragonspar/gateway/entry_instance.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include "tarragonspar/gateway/plumbing.hpp"
+#include "tarragonspar/runtime/clock.hpp"
+#include "tarragonspar/telemetry/log.hpp"
+
+namespace tarragonspar::gateway {
+
+namespace asio = boost::asio;
+using runtime::now;
+
+namespace {
+
+/// Time between saying "not ready" and the end of new connections: the platform asks once a second
+/// and needs two misses.
+constexpr auto leave_notice = std::chrono::milliseconds{2'300};
+/// Part of the grace that is left unused, so that the process ends by itself.
+constexpr auto grace_margin = std::chrono::milliseconds{400};
+/// Pause between two looks at whether the last request has ended.
+constexpr auto drain_poll = std::chrono::milliseconds{50};
+
+incarnation make_incarnation() {
+    // Random, since the time of day may be set back between two starts.
+    std::random_device source;
+    return {(std::uint64_t{source()} << 32U) | source()};
+}
+
+admission::retry_limits make_retry_limits(const settings::deployment_settings& from) {
+    return {.ratio = from.retry_ratio,
+            .slack = from.retry_slack,
+            .window = from.retry_window};
+}
+
+} // namespace
+
+entry_instance::entry_instance(settings::instance_settings settings,
+                               std::unique_ptr<const dialect> speaks)
+    : settings_(std::move(settings)), speaks_(std::move(speaks)), started_as_(make_incarnation()),
+      context_(1), keep_running_(asio::make_work_guard(context_)),
+      random_(std::random_device{}()) {
+    node_ = std::make_unique<wire::node>(make_node_options(settings_),
+                                         static_cast<wire::handler&>(*this));
+    repeats_.limits = make_retry_limits(settings_.deployment);
+    // Before the control group says how many there are, as if there were many.
+    constexpr std::uint32_t assumed_instances = 16;
+    repeats_.limits.instances = assumed_instances;
+    directory_options list;
+    list.list = settings_.deployment.server_list;
+    list.interval = std::chrono::milliseconds{1'000};
+    directory_ = std::make_shared<server_directory>(
+        context_, list, *speaks_,
+        [this](std::vector<config::server> servers) { link_->set_servers(std::move(servers)); });
+    make_link();
+}
+
+entry_instance::~entry_instance() {
+    context_.stop();
+    if (thread_.joinable()) {
+        thread_.join();
+    }
+    node_->stop();
+}
+
+void entry_instance::make_link() {
+    control_link::hooks uses;
+    uses.open_requests = [this] { return open_requests(); };
+    uses.on_document = [this](const config::document& newest) { on_document(newest); };
+    uses.on_size = [this](std::uint32_t entry_instances) {
+        repeats_.limits.instances = entry_instances;
+        if (catalogue_) {
+            link_->set_document(catalogue_->value().number, catalogue_->value());
+        }
+    };
+    uses.on_list_wanted = [this](bool wanted) { directory_->set_wanted(wanted && !leaving_); };
+    link_ = std::make_shared<control_link>(context_, settings_.id, *node_, founders_of(settings_),
+                                           std::move(uses));
+}
+
+std::string entry_instance::start() {
+    if (auto fault = node_->start(); !fault.empty()) {
+        return "the address for other instances: " + fault;
+    }
+    try {
+        http::server_options options;
+        options.listen = settings_.http;
+        options.limits = settings_.limits;
+        front_ = std::make_shared<http::server>(
+            context_, options, [this](http::exchange& with) { return handle(with); });
+        options.listen = settings_.deployment.readiness;
+        readiness_ = std::make_shared<http::server>(
+            context_, options, [this](http::exchange& with) { return handle_readiness(with); });
+        metrics_server_ = make_metrics_server(context_, settings_, metrics_);
+    } catch (const std::exception& error) {
+        return std::string("an address for HTTP: ") + error.what();
+    }
+    front_->start();
+    readiness_->start();
+    if (metrics_server_) {
+        metrics_server_->start();
+    }
+    asio::post(context_, [this] { link_->start(); });
+    thread_ = std::thread([this] { context_.run(); });
+    log_start(settings_, "entry");
+    return {};
+}
+
+void entry_instance::shut_down() {
+    const auto asked = std::chrono::steady_clock::now();
+    const auto end = asked + settings_.deployment.grace - grace_margin;
+    leaving_ = true;
+    telemetry::write(telemetry::log_line("leaving").add(
+        "open_requests", static_cast<std::int64_t>(open_count_.load())));
+    std::this_thread::sleep_for(leave_notice);
+    front_->close_idle();
+    while (open_count_ > 0 && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(drain_poll);
+    }
+    std::this_thread::sleep_for(drain_poll);
+    front_->stop_accepting();
+    while (open_count_ > 0 && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(drain_poll);
+    }
+    asio::post(context_, [this] {
+        link_->stop();
+        directory_->stop();
+    });
+    telemetry::write(telemetry::log_line("left").add(
+        "open_requests", static_cast<std::int64_t>(open_count_.load())));
+    std::this_thread::sleep_for(drain_poll);
+}
+
+void entry_instance::reload(const settings::instance_settings& fresh) {
+    telemetry::set_log_level(fresh.log.level);
+    asio::post(context_, [this, contacts = founders_of(fresh)] { link_->add_contacts(contacts); });
+    telemetry::write(telemetry::log_line("reloaded").add("level", fresh.log.level));
+}
+
+void entry_instance::on_document(const config::document& newest) {
+    if (catalogue_ && newest.number <= catalogue_->value().number) {
+        return;
+    }
+    auto read = speaks_->read_catalogue(newest.content);
+    if (!read.faults.empty()) {
+        telemetry::write(telemetry::log_line("document_unreadable")
+                             .add("number", static_cast<std::int64_t>(newest.number.value))
+                             .add("why", read.faults.front()));
+        return;
+    }
+    auto limits = settings_.limits;
+    limits.max_header_bytes = read.value.limits.max_header_bytes;
+    limits.max_body_bytes = read.value.limits.max_body_bytes;
+    limits.header_timeout = read.value.limits.header_timeout;
+    limits.idle_timeout = read.value.limits.idle_timeout;
+    front_->set_limits(limits);
+    catalogue_ = std::make_shared<const config::catalogue_index>(std::move(read.value));
+    link_->set_document(newest.number, catalogue_->value());
+    metrics_.set_revision(newest.number.value);
+    telemetry::write(telemetry::log_line("document_in_force")
+                         .add("number", static_cast<std::int64_t>(newest.number.value)));
+}
+
+bool entry_instance::is_ready() const {
+    return !leaving_ && catalogue_ && link_->has_servers();
+}
+
+dispatch::holder_report entry_instance::open_requests() const {
+    dispatch::holder_report report{.holder = settings_.id, .started_as = started_as_};
+    for (const auto& [sequence, request] : open_) {
+        if (request->running_at) {
+            report.running.push_back(
+                {.work = request->work, .server = request->running_at->server});
+        } else {
+            report.waiting.push_back(sequence);
+        }
+    }
+    return report;
+}
+
+asio::awaitable<void> entry_instance::handle_readiness(http::exchange& with) {
+    http::reply out;
+    const auto known = speaks_->asks_readiness(with.request());
+    out.status = !known ? 404 : is_ready() ? 200 : 503;
+    out.body = "{}";
+    co_await with.respond(std::move(out));
+}
+
+// Instances of this kind take requests from callers only, and don't gossip.
+
+void entry_instance::on_enqueue(instance_id, work_item, dispatch::call_body,
+                                std::shared_ptr<wire::remote_request> request) {
+    request->conclude(dispatch::refuse{.why = reason::no_server});
+}
+
+void entry_instance::on_withdraw(instance_id, const request_id&) {}
+
+void entry_instance::on_gossip(instance_id, wire::gossip_message message,
+                               std::function<void(wire::gossip_message)> reply) {
+    reply(std::move(message));
+}
+
+void entry_instance::on_probe(instance_id, std::function<void(bool)> reply) {
+    reply(true);
+}
+
+void entry_instance::on_consensus(instance_id, std::string) {}
+
+void entry_instance::on_question(instance_id, wire::topic, std::string,
+                                 std::function<void(wire::answer)> reply) {
+    reply({});
+}
+
+} // namespace tarragonspar::gateway
--- /dev/null
+++ b/src/gateway/relay.cpp
@@ -0,0 +1,538 @@
+// One caller's request, from its arrival to its end.
+
+#include <algorithm>
+#include <cmath>
+
+#include <boost/asio/post.hpp>
+
+#include "tarragonspar/gateway/entry_instance.hpp"
+#include "tarragonspar/http/completion_api.hpp"
+#include "tarragonspar/http/detail/serve.hpp"
+#include "tarragonspar/runtime/clock.hpp"
+#include "tarragonspar/telemetry/log.hpp"
+
+namespace tarragonspar::gateway {
+
+namespace asio = boost::asio;
+using runtime::now;
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_unauthorized = 401;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_too_many = 429;
+constexpr unsigned status_server_error = 500;
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_gateway_timeout = 504;
+
+/// Servers out of reach after which a request is given up.
+constexpr std::uint32_t max_unreachable = 6;
+/// Largest answer that is held until it is whole; what is longer is passed on as it comes.
+constexpr std::size_t max_held_answer = 1024 * 1024;
+/// Time that must be left for another attempt to make sense.
+constexpr duration min_attempt_time = std::chrono::milliseconds{50};
+/// When to come back after a refusal that has no better estimate: a few service times.
+constexpr duration default_retry_after = std::chrono::milliseconds{500};
+/// Largest part by which the time to come back is spread, so that refused callers do not return
+/// together.
+constexpr double retry_spread = 0.5;
+
+http::reply make_refusal(unsigned status, const std::string& why, duration retry_after,
+                         std::mt19937_64& random) {
+    auto out = http::format_error(status, why);
+    if (status == status_too_many || status == status_unavailable) {
+        std::uniform_real_distribution<double> spread(1.0, 1.0 + retry_spread);
+        const auto pause = retry_after > duration{} ? retry_after : default_retry_after;
+        const auto millis = std::ceil(to_seconds(pause) * spread(random) * 1e3);
+        std::string text = std::to_string(millis / 1e3);
+        text.resize(text.find('.') + 4);
+        out.headers.emplace_back("Retry-After", std::move(text));
+    }
+    return out;
+}
+
+bool is_event_stream(const http::answer_head& head) {
+    return head.status == status_ok && head.header("Content-Type").starts_with("text/event-stream");
+}
+
+std::int64_t millis(duration value) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+/// Blocks that stand for a prompt's parts: equal beginnings of prompts have equal blocks.
+std::vector<block_hash> blocks_of(const std::vector<prompt_part>& parts) {
+    std::vector<block_hash> blocks;
+    std::uint64_t chain = 0;
+    for (const auto& part : parts) {
+        chain = hash_pair(chain, part.key);
+        for (std::uint32_t token = block_tokens; token <= part.tokens.value;
+             token += block_tokens) {
+            blocks.push_back({hash_pair(chain, token)});
+        }
+    }
+    return blocks;
+}
+
+} // namespace
+
+entry_instance::request_ptr entry_instance::admit(const http::request_message& message,
+                                                  http::reply& refused) {
+    auto caller = speaks_->read_request(message);
+    if (!caller.fault.empty()) {
+        refused = http::format_error(400, caller.fault);
+        return nullptr;
+    }
+    if (!catalogue_) {
+        refused = make_refusal(status_unavailable, "no catalogue is known yet",
+                               std::chrono::seconds{1}, random_);
+        return nullptr;
+    }
+    const auto view = message.target();
+    std::string target(view.data(), view.size());
+    const auto* route = catalogue_->find_route(caller.host, target);
+    if (route == nullptr) {
+        refused = http::format_error(status_not_found, "no route for this host and path");
+        return nullptr;
+    }
+    const config::workspace* workspace = nullptr;
+    const auto guarded = !catalogue_->value().workspaces.empty() && !route->anonymous_allowed;
+    if (!caller.workspace_key.empty()) {
+        workspace = catalogue_->find_workspace(caller.workspace_key);
+    }
+    if (guarded && workspace == nullptr) {
+        refused = http::format_error(status_unauthorized, "the key is not known");
+        return nullptr;
+    }
+    auto request = std::make_shared<relayed_request>(context_.get_executor(), std::move(caller));
+    request->catalogue = catalogue_;
+    request->route = route;
+    request->service = config::choose_service(*route, random_());
+    request->method = std::string(message.method_string());
+    request->target = std::move(target);
+    request->body = message.body();
+    auto& work = request->work;
+    work.urgency = route->urgency;
+    if (workspace != nullptr) {
+        request->workspace = workspace->name;
+        work.workspace = {hash_name(workspace->name)};
+        work.urgency = workspace->urgency.value_or(work.urgency);
+        const auto tokens = request->caller.prompt.value + request->caller.max_output.value;
+        const auto& quota = workspace->quota;
+        work.quota_units = !quota.counts_tokens ? 1 : tokens > 0 ? tokens : quota.plain_tokens;
+    }
+    fill_work(*request);
+    return request;
+}
+
+void entry_instance::fill_work(relayed_request& request) {
+    auto& work = request.work;
+    work.id = {
+        .issuer = settings_.id, .issued_in = started_as_, .sequence = ++next_sequence_};
+    work.urgency = {std::min<std::uint8_t>(work.urgency.value, tier_count - 1)};
+    work.model = {hash_name(request.service)};
+    work.profile = hash_name(request.route->name);
+    work.arrival = now();
+    const duration allowed = request.route->timeout;
+    const duration asked = request.caller.time_left.value_or(request.route->timeout);
+    work.deadline = work.arrival + std::min(allowed, asked);
+    work.prompt = request.caller.prompt;
+    work.max_output = request.caller.max_output;
+    work.blocks = blocks_of(request.caller.parts);
+    work.idempotent = config::is_idempotent(*request.route);
+    if (const auto* service = request.catalogue->find_service(request.service)) {
+        request.tokens_per_event = std::max(1U, service->tokens_per_event);
+    }
+}
+
+void entry_instance::watch(const request_ptr& request, http::exchange& with) {
+    with.when_gone([request] {
+        request->gone = true;
+        if (request->call) {
+            request->call->close();
+        }
+        request->wake.cancel();
+    });
+    request->limit.expires_after(request->work.deadline - now());
+    request->limit.async_wait([request](boost::system::error_code error) {
+        if (error) {
+            return;
+        }
+        request->timed_out = true;
+        if (request->call) {
+            request->call->close();
+        }
+        request->wake.cancel();
+    });
+}
+
+asio::awaitable<void> entry_instance::handle(http::exchange& with) {
+    http::reply refused;
+    auto request = admit(with.request(), refused);
+    if (!request) {
+        telemetry::write(telemetry::log_line("request_rejected")
+                             .add("status", refused.status)
+                             .add("why", refused.body));
+        co_await with.respond(std::move(refused));
+        co_return;
+    }
+    ++open_count_;
+    open_.emplace(request->work.id.sequence, request);
+    admission::note_first(repeats_, request->service, now());
+    watch(request, with);
+    co_await relay(request, with);
+    request->limit.cancel();
+    open_.erase(request->work.id.sequence);
+    --open_count_;
+    note_finished(*request);
+}
+
+asio::awaitable<void> entry_instance::relay(request_ptr request, http::exchange& with) {
+    auto earlier = dispatch::earlier_grant::none;
+    auto last = attempt_end::not_connected;
+    while (true) {
+        const bool granted = co_await wait_for_grant(request, earlier);
+        if (!granted) {
+            break;
+        }
+        last = co_await attempt(request, with);
+        if (request->call) {
+            request->call->close();
+            request->call.reset();
+        }
+        const auto again = request->again || may_try_again(*request, last);
+        request->again = false;
+        const auto fault = last == attempt_end::not_connected ||
+                           last == attempt_end::not_executed || last == attempt_end::failed;
+        if (!again) {
+            tell_desk(*request, last, fault);
+            break;
+        }
+        earlier = last == attempt_end::not_connected ? dispatch::earlier_grant::not_connected
+                                                     : dispatch::earlier_grant::server_failed;
+        if (last != attempt_end::not_connected) {
+            request->work.avoid.push_back(request->running_at->server);
+        }
+        telemetry::write(telemetry::log_line("request_again")
+                             .add("id", request->caller.name)
+                             .add("server", request->running_at->server_name)
+                             .add("cause", last == attempt_end::not_connected  ? "not_connected"
+                                           : last == attempt_end::not_executed ? "not_executed"
+                                                                               : "failed")
+                             .add("attempts", request->attempts));
+        request->running_at.reset();
+    }
+    co_await conclude(request, with, last);
+}
+
+asio::awaitable<bool> entry_instance::wait_for_grant(request_ptr request,
+                                                     dispatch::earlier_grant earlier) {
+    request->verdict.reset();
+    link_->ask(request->work, earlier, [request](dispatch::verdict what) {
+        request->verdict = std::move(what);
+        request->wake.cancel();
+    });
+    while (!request->verdict && !request->is_over()) {
+        request->wake.expires_at(asio::steady_timer::time_point::max());
+        co_await request->wake.async_wait(http::detail::as_result);
+    }
+    if (request->is_over()) {
+        link_->note({.id = request->work.id, .kind = dispatch::grant_news::what::withdrawn});
+        co_return false;
+    }
+    const auto* given = std::get_if<dispatch::grant>(&*request->verdict);
+    if (given == nullptr) {
+        co_return false;
+    }
+    request->running_at = *given;
+    request->granted = now();
+    co_return true;
+}
+
+asio::awaitable<attempt_end> entry_instance::attempt(request_ptr request, http::exchange& with) {
+    const auto& at = *request->running_at;
+    const auto address = settings::parse_endpoint(at.address);
+    if (!address) {
+        co_return attempt_end::not_connected;
+    }
+    request->call = std::make_shared<http::backend_call>(context_.get_executor());
+    const bool connected = co_await request->call->connect(*address);
+    if (request->is_over()) {
+        co_return attempt_end::stopped;
+    }
+    if (!connected) {
+        ++request->unreachable;
+        co_return attempt_end::not_connected;
+    }
+    const auto left = request->work.deadline - now();
+    dispatch_terms terms;
+    terms.time_left = std::chrono::duration_cast<std::chrono::milliseconds>(left);
+    terms.server_name = at.server_name;
+    terms.workspace = request->workspace;
+    terms.resume_after =
+        request->last_event ? request->last_event : request->caller.resume_after;
+    auto headers = speaks_->server_headers(request->caller, terms);
+    ++request->attempts;
+    const auto ran_before = request->may_have_run;
+    request->may_have_run = true;
+    metrics_.count_dispatch(request->work.urgency);
+    request->call->send(request->method, request->target, std::move(headers), request->body);
+    auto head = co_await request->call->read_head();
+    if (request->is_over()) {
+        co_return attempt_end::stopped;
+    }
+    if (!head) {
+        co_return attempt_end::failed;
+    }
+    const auto marks = speaks_->read_marks(*head);
+    if (marks.not_executed || head->status == status_misdirected) {
+        request->may_have_run = ran_before;
+        co_return attempt_end::not_executed;
+    }
+    if (marks.request_name != request->caller.name) {
+        telemetry::write(telemetry::log_line("answer_of_another_request")
+                             .add("id", request->caller.name)
+                             .add("answered", marks.request_name)
+                             .add("server", at.server_name));
+        co_return attempt_end::failed;
+    }
+    if (is_event_stream(*head)) {
+        co_return co_await pass_events(request, with, std::move(*head));
+    }
+    co_return co_await pass_answer(request, with, std::move(*head));
+}
+
+asio::awaitable<attempt_end> entry_instance::pass_answer(request_ptr request, http::exchange& with,
+                                                         http::answer_head head) {
+    if (request->begun) {
+        co_return attempt_end::failed; // a stream can't go on with something else
+    }
+    std::string body;
+    bool whole = false;
+    while (!whole) {
+        auto part = co_await request->call->read_body();
+        if (request->is_over()) {
+            co_return attempt_end::stopped;
+        }
+        if (part.broken) {
+            if (request->begun) {
+                with.abort();
+                co_return attempt_end::stopped;
+            }
+            co_return attempt_end::failed;
+        }
+        whole = part.whole;
+        body += part.bytes;
+        if (body.size() > max_held_answer || request->begun) {
+            if (!request->begun) {
+                request->begun = true;
+                request->status = head.status;
+                co_await with.begin_stream(head.status, {}, head.headers);
+            }
+            request->bytes_out += body.size();
+            auto piece = std::exchange(body, {});
+            co_await with.write(std::move(piece));
+        }
+    }
+    if (request->begun) {
+        co_await with.end_stream();
+        co_return attempt_end::done;
+    }
+    const auto repeatable = head.status >= status_server_error && request->work.idempotent;
+    if (repeatable && may_try_again(*request, attempt_end::failed)) {
+        request->again = true;
+        co_return attempt_end::failed;
+    }
+    request->status = head.status;
+    request->bytes_out = body.size();
+    http::reply out;
+    out.status = head.status;
+    out.content_type.clear();
+    out.headers = std::move(head.headers);
+    out.body = std::move(body);
+    co_await with.respond(std::move(out));
+    co_return attempt_end::done;
+}
+
+asio::awaitable<attempt_end> entry_instance::pass_events(request_ptr request, http::exchange& with,
+                                                         http::answer_head head) {
+    http::event_splitter splitter;
+    while (true) {
+        const auto part = co_await request->call->read_body();
+        if (request->is_over()) {
+            co_return attempt_end::stopped;
+        }
+        const auto events = splitter.take(part.bytes);
+        if (!events.empty()) {
+            const bool wanted = co_await forward_events(request, with, head, events);
+            if (!wanted) {
+                request->gone = true;
+                co_return attempt_end::stopped;
+            }
+        }
+        if (part.broken || (part.whole && splitter.unfinished() > 0)) {
+            co_return attempt_end::failed; // an event that was cut is dropped
+        }
+        if (part.whole) {
+            break;
+        }
+    }
+    if (!request->begun) {
+        request->begun = true;
+        request->status = head.status;
+        co_await with.begin_stream(head.status, {}, std::move(head.headers));
+    }
+    co_await with.end_stream();
+    co_return attempt_end::done;
+}
+
+asio::awaitable<bool> entry_instance::forward_events(request_ptr request, http::exchange& with,
+                                                     const http::answer_head& head,
+                                                     const std::vector<http::stream_event>& events) {
+    if (request->first_event == time_point{}) {
+        request->first_event = now();
+        const dispatch::grant_news news{.id = request->work.id,
+                                        .kind = dispatch::grant_news::what::first_token};
+        link_->note(news);
+    }
+    std::string bytes;
+    for (const auto& event : events) {
+        const auto seen = event.id && request->last_event && *event.id <= *request->last_event;
+        if (seen) {
+            continue;
+        }
+        if (event.id) {
+            request->last_event = event.id;
+        }
+        ++request->events;
+        bytes += event.bytes;
+    }
+    if (!request->begun) {
+        request->begun = true;
+        request->status = head.status;
+        auto headers = head.headers;
+        const bool alive = co_await with.begin_stream(head.status, {}, std::move(headers));
+        if (!alive) {
+            co_return false;
+        }
+    }
+    request->bytes_out += bytes.size();
+    co_return co_await with.write(std::move(bytes));
+}
+
+bool entry_instance::may_try_again(relayed_request& request, attempt_end last) {
+    if (request.is_over() || last == attempt_end::done || last == attempt_end::stopped) {
+        return false;
+    }
+    if (request.work.deadline - now() < min_attempt_time) {
+        return false;
+    }
+    if (last == attempt_end::not_connected) {
+        return request.unreachable < max_unreachable;
+    }
+    // Only what the server did not run, or what may run twice, may go to another one. A stream that
+    // has begun goes on only where it may be resumed.
+    const auto harmless = last == attempt_end::not_executed || request.work.idempotent;
+    const auto resumable = !request.begun || (request.work.idempotent && request.last_event);
+    if (!harmless || !resumable || request.attempts >= request.route->max_attempts) {
+        return false;
+    }
+    return admission::try_repeat(repeats_, request.service, now());
+}
+
+void entry_instance::tell_desk(relayed_request& request, attempt_end how, bool server_fault) {
+    dispatch::grant_news news{.id = request.work.id};
+    news.kind = how == attempt_end::done ? dispatch::grant_news::what::done
+                                         : dispatch::grant_news::what::failed;
+    news.server_fault = server_fault || request.status >= status_server_error;
+    if (how == attempt_end::done && news.server_fault) {
+        news.kind = dispatch::grant_news::what::failed;
+    }
+    news.generated = {request.events * request.tokens_per_event};
+    link_->note(news);
+}
+
+asio::awaitable<void> entry_instance::conclude(request_ptr request, http::exchange& with,
+                                               attempt_end last) {
+    if (last == attempt_end::done || request->gone) {
+        co_return;
+    }
+    if (request->begun) {
+        with.abort();
+        co_return;
+    }
+    http::reply out;
+    const auto* refused =
+        request->verdict ? std::get_if<dispatch::refusal>(&*request->verdict) : nullptr;
+    if (request->may_have_run) {
+        out = request->timed_out
+                  ? make_refusal(status_gateway_timeout, "no answer in time", {}, random_)
+                  : make_refusal(status_bad_gateway, "the server broke off", {}, random_);
+    } else if (refused != nullptr) {
+        const auto status =
+            refused->why == reason::workspace_limit ? status_too_many : status_unavailable;
+        out = make_refusal(status, std::string(to_string(refused->why)), refused->retry_after,
+                           random_);
+    } else {
+        out = make_refusal(status_unavailable, request->timed_out ? "no server was free in time"
+                                                                  : "the servers are full",
+                           {}, random_);
+    }
+    request->status = out.status;
+    co_await with.respond(std::move(out));
+}
+
+void entry_instance::note_finished(const relayed_request& request) {
+    const auto ended = now();
+    const auto since_arrival = [&](time_point moment) {
+        return moment == time_point{} ? std::int64_t{-1} : millis(moment - request.work.arrival);
+    };
+    const auto* refused =
+        request.verdict ? std::get_if<dispatch::refusal>(&*request.verdict) : nullptr;
+    telemetry::request_summary summary;
+    summary.urgency = request.work.urgency;
+    summary.workspace = request.workspace;
+    summary.kind = request.caller.parts.empty() ? "service" : "engine";
+    const auto served = request.status >= status_ok && request.status < 300;
+    summary.result = served                    ? outcome::answered
+                     : request.may_have_run ? outcome::unknown
+                                            : outcome::not_executed;
+    summary.why = refused != nullptr ? refused->why : reason::none;
+    summary.in_time = served && ended <= request.work.deadline;
+    summary.queue_wait =
+        request.granted == time_point{} ? duration{} : request.granted - request.work.arrival;
+    summary.first_token = request.first_event == time_point{}
+                              ? duration{}
+                              : request.first_event - request.work.arrival;
+    summary.total = ended - request.work.arrival;
+    summary.generated = request.events * request.tokens_per_event;
+    metrics_.record(summary);
+    telemetry::write(
+        telemetry::log_line("request")
+            .add("id", request.caller.name)
+            .add("route", request.route->name)
+            .add("service", request.service)
+            .add("workspace", request.workspace.empty() ? "none" : request.workspace)
+            .add("tier", request.work.urgency.value)
+            .add("status", request.status)
+            .add("why", refused != nullptr    ? to_string(refused->why)
+                        : request.gone        ? "caller_gone"
+                        : request.timed_out   ? "timed_out"
+                                              : "none")
+            .add("server", request.running_at ? request.running_at->server_name : "none")
+            .add("attempts", request.attempts)
+            .add("unreachable", request.unreachable)
+            .add("wait_ms", since_arrival(request.granted))
+            .add("first_event_ms", since_arrival(request.first_event))
+            .add("total_ms", millis(ended - request.work.arrival))
+            .add("allowed_ms", millis(request.work.deadline - request.work.arrival))
+            .add("prompt_tokens", request.work.prompt.value)
+            .add("events", request.events)
+            .add("bytes", static_cast<std::int64_t>(request.bytes_out))
+            .add("revision",
+                 static_cast<std::int64_t>(request.catalogue->value().number.value)));
+}
+
+} // namespace tarragonspar::gateway
--- /dev/null
+++ b/src/gateway/reports.cpp
@@ -0,0 +1,168 @@
+#include "tarragonspar/gateway/reports.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "tarragonspar/types/cbor.hpp"
+#include "tarragonspar/wire/codec.hpp"
+
+namespace tarragonspar::gateway {
+
+using nlohmann::json;
+
+namespace {
+
+/// Reads a value; nothing when the bytes have another form.
+template <class Read>
+auto read_cbor(const std::string& bytes, Read read)
+    -> std::optional<decltype(read(std::declval<const json&>()))> {
+    try {
+        return read(json::from_cbor(bytes));
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+json ids(const std::vector<instance_id>& list) {
+    auto out = json::array();
+    for (const auto id : list) {
+        out.push_back(id.value);
+    }
+    return out;
+}
+
+json id_of(const request_id& id) {
+    return json::array({id.issuer.value, id.issued_in.value, id.sequence});
+}
+
+request_id read_id(const json& in) {
+    return {.issuer = {in.at(0).get<std::uint32_t>()},
+            .issued_in = {in.at(1).get<std::uint64_t>()},
+            .sequence = in.at(2).get<std::uint64_t>()};
+}
+
+} // namespace
+
+std::string pack(const entry_report& value, time_point) {
+    auto running = json::array();
+    for (const auto& item : value.open.running) {
+        running.push_back(json::array({item.work.id.sequence, item.server.value,
+                                       item.work.urgency.value, item.work.workspace.value,
+                                       item.work.model.value}));
+    }
+    return cbor::encode(json::array({value.open.holder.value, value.open.started_as.value,
+                                     std::move(running), value.open.waiting, value.document.value,
+                                     value.servers_mark}));
+}
+
+std::optional<entry_report> unpack_report(const std::string& bytes, time_point) {
+    return read_cbor(bytes, [](const json& in) {
+        entry_report value;
+        value.open.holder = {in.at(0).get<std::uint32_t>()};
+        value.open.started_as = {in.at(1).get<std::uint64_t>()};
+        for (const auto& item : in.at(2)) {
+            dispatch::held_request held;
+            held.work.id = {.issuer = value.open.holder,
+                            .issued_in = value.open.started_as,
+                            .sequence = item.at(0).get<std::uint64_t>()};
+            held.server = {item.at(1).get<std::uint32_t>()};
+            held.work.urgency = {item.at(2).get<std::uint8_t>()};
+            held.work.workspace = {item.at(3).get<std::uint64_t>()};
+            held.work.model = {item.at(4).get<std::uint64_t>()};
+            value.open.running.push_back(std::move(held));
+        }
+        value.open.waiting = in.at(3).get<std::vector<std::uint64_t>>();
+        value.document = {in.at(4).get<std::uint64_t>()};
+        value.servers_mark = in.at(5).get<std::uint64_t>();
+        return value;
+    });
+}
+
+std::string pack(const control_news& value) {
+    return cbor::encode(json::array(
+        {value.schedules, value.leader ? json(value.leader->value) : json(), ids(value.members),
+         value.entry_instances, value.document ? json(*value.document) : json(),
+         value.servers_mark, value.servers ? json(*value.servers) : json()}));
+}
+
+std::optional<control_news> unpack_news(const std::string& bytes) {
+    return read_cbor(bytes, [](const json& in) {
+        control_news value;
+        value.schedules = in.at(0).get<bool>();
+        if (!in.at(1).is_null()) {
+            value.leader = instance_id{in.at(1).get<std::uint32_t>()};
+        }
+        for (const auto& id : in.at(2)) {
+            value.members.push_back({id.get<std::uint32_t>()});
+        }
+        value.entry_instances = in.at(3).get<std::uint32_t>();
+        if (!in.at(4).is_null()) {
+            value.document = in.at(4).get<config::document>();
+        }
+        value.servers_mark = in.at(5).get<std::uint64_t>();
+        if (!in.at(6).is_null()) {
+            value.servers = in.at(6).get<std::vector<config::server>>();
+        }
+        return value;
+    });
+}
+
+std::string pack(const grant_question& value, time_point now) {
+    return cbor::encode(json::array({static_cast<std::uint8_t>(value.earlier),
+                                     cbor::binary(wire::pack(value.work, now))}));
+}
+
+std::optional<grant_question> unpack_question(const std::string& bytes, time_point now) {
+    const auto read = read_cbor(bytes, [&](const json& in) {
+        const auto work = wire::unpack_work(cbor::bytes_of(in.at(1)), now);
+        const auto earlier = in.at(0).get<std::uint8_t>();
+        return work ? std::optional{grant_question{
+                          .work = *work,
+                          .earlier = static_cast<dispatch::earlier_grant>(earlier)}}
+                    : std::nullopt;
+    });
+    return read ? *read : std::nullopt;
+}
+
+std::string pack(const dispatch::verdict& value) {
+    if (const auto* given = std::get_if<dispatch::grant>(&value)) {
+        return cbor::encode(
+            json::array({true, given->server.value, given->server_name, given->address}));
+    }
+    const auto& no = std::get<dispatch::refusal>(value);
+    return cbor::encode(
+        json::array({false, static_cast<std::uint8_t>(no.why), no.retry_after.count()}));
+}
+
+std::optional<dispatch::verdict> unpack_verdict(const std::string& bytes) {
+    return read_cbor(bytes, [](const json& in) -> dispatch::verdict {
+        if (in.at(0).get<bool>()) {
+            return dispatch::grant{.server = {in.at(1).get<std::uint32_t>()},
+                                   .server_name = in.at(2).get<std::string>(),
+                                   .address = in.at(3).get<std::string>()};
+        }
+        return dispatch::refusal{.why = static_cast<reason>(in.at(1).get<std::uint8_t>()),
+                                 .retry_after = duration{in.at(2).get<std::int64_t>()}};
+    });
+}
+
+std::string pack(const dispatch::grant_news& value) {
+    return cbor::encode(json::array({id_of(value.id), static_cast<std::uint8_t>(value.kind),
+                                     value.generated.value, value.server_fault}));
+}
+
+std::optional<dispatch::grant_news> unpack_grant_news(const std::string& bytes) {
+    return read_cbor(bytes, [](const json& in) {
+        dispatch::grant_news value;
+        value.id = read_id(in.at(0));
+        value.kind = static_cast<dispatch::grant_news::what>(in.at(1).get<std::uint8_t>());
+        value.generated = {in.at(2).get<std::uint32_t>()};
+        value.server_fault = in.at(3).get<bool>();
+        return value;
+    });
+}
+
+std::uint64_t mark_of(const std::vector<config::server>& servers) {
+    return hash_name(json(servers).dump());
+}
+
+} // namespace tarragonspar::gateway
--- /dev/null
+++ b/src/http/backend_call.cpp
@@ -0,0 +1,172 @@
+#include "tarragonspar/http/backend_call.hpp"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "tarragonspar/http/detail/serve.hpp"
+
+namespace tarragonspar::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+
+namespace {
+
+/// Seconds without traffic before the first keep-alive probe, and between two probes.
+constexpr int keep_alive_seconds = 1;
+/// Probes without an answer after which the connection counts as lost.
+constexpr int keep_alive_probes = 2;
+
+void watch_for_silence(tcp::socket& socket, std::chrono::milliseconds limit) {
+    const int fd = socket.native_handle();
+    const int on = 1;
+    const auto milliseconds = static_cast<unsigned>(limit.count());
+    const auto set = [&](int level, int name, const void* value, socklen_t size) {
+        // Without the option a dead server is noticed only at the request's deadline.
+        static_cast<void>(::setsockopt(fd, level, name, value, size));
+    };
+    set(SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    set(IPPROTO_TCP, TCP_KEEPIDLE, &keep_alive_seconds, sizeof(keep_alive_seconds));
+    set(IPPROTO_TCP, TCP_KEEPINTVL, &keep_alive_seconds, sizeof(keep_alive_seconds));
+    set(IPPROTO_TCP, TCP_KEEPCNT, &keep_alive_probes, sizeof(keep_alive_probes));
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+}
+
+} // namespace
+
+bool is_hop_header(std::string_view name) noexcept {
+    constexpr std::array<std::string_view, 10> names{
+        "connection", "keep-alive", "proxy-connection",  "te",     "trailer",
+        "upgrade",    "expect",     "transfer-encoding", "content-length", "proxy-authorization"};
+    return std::any_of(names.begin(), names.end(), [&](std::string_view hop) {
+        return beast::iequals(hop, beast::string_view(name.data(), name.size()));
+    });
+}
+
+std::string answer_head::header(std::string_view name) const {
+    for (const auto& [known, value] : headers) {
+        if (beast::iequals(known, beast::string_view(name.data(), name.size()))) {
+            return value;
+        }
+    }
+    return {};
+}
+
+backend_call::backend_call(asio::any_io_executor executor, const backend_call_options& options)
+    : options_(options), socket_(std::move(executor)) {}
+
+asio::awaitable<bool> backend_call::connect(settings::endpoint at) {
+    const auto self = shared_from_this();
+    boost::system::error_code bad_address;
+    const auto address = asio::ip::make_address(at.address, bad_address);
+    if (bad_address) {
+        co_return false;
+    }
+    asio::steady_timer limit(socket_.get_executor(), options_.connect_timeout);
+    limit.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+        if (const auto held = weak.lock(); held && !error) {
+            held->close();
+        }
+    });
+    const tcp::endpoint endpoint(address, at.port);
+    const auto [error] = co_await socket_.async_connect(endpoint, detail::as_result);
+    limit.cancel();
+    if (error || !socket_.is_open()) {
+        co_return false;
+    }
+    watch_for_silence(socket_, options_.silence_timeout);
+    co_return true;
+}
+
+void backend_call::send(std::string method, std::string target, header_list headers,
+                        std::string body) {
+    request_ = std::make_unique<request_type>();
+    request_->version(11);
+    request_->method_string(method);
+    request_->target(target);
+    for (const auto& [name, value] : headers) {
+        request_->insert(name, value);
+    }
+    head_request_ = request_->method() == beast_http::verb::head;
+    const auto bodiless = body.empty() && (request_->method() == beast_http::verb::get ||
+                                           request_->method() == beast_http::verb::head);
+    if (!bodiless) {
+        request_->content_length(body.size());
+    }
+    request_->body() = std::move(body);
+    serializer_ =
+        std::make_unique<beast_http::request_serializer<beast_http::string_body>>(*request_);
+    // A failed write shows when the answer is read; the server may have answered before the end.
+    beast_http::async_write(socket_, *serializer_,
+                            [self = shared_from_this()](beast::error_code, std::size_t) {});
+}
+
+asio::awaitable<std::optional<answer_head>> backend_call::read_head() {
+    const auto self = shared_from_this();
+    while (true) {
+        parser_ = std::make_unique<beast_http::response_parser<beast_http::buffer_body>>();
+        parser_->body_limit(boost::none);
+        parser_->header_limit(static_cast<std::uint32_t>(options_.max_header_bytes));
+        parser_->skip(head_request_);
+        const auto [error, size] =
+            co_await beast_http::async_read_header(socket_, buffer_, *parser_, detail::as_result);
+        if (error) {
+            co_return std::nullopt;
+        }
+        constexpr unsigned first_final = 200;
+        if (parser_->get().result_int() >= first_final) {
+            break;
+        }
+    }
+    answer_head head;
+    head.status = parser_->get().result_int();
+    for (const auto& field : parser_->get().base()) {
+        const std::string name(field.name_string());
+        if (!is_hop_header(name)) {
+            head.headers.emplace_back(name, std::string(field.value()));
+        }
+    }
+    co_return head;
+}
+
+asio::awaitable<body_part> backend_call::read_body() {
+    const auto self = shared_from_this();
+    body_part part;
+    if (parser_->is_done()) {
+        part.whole = true;
+        co_return part;
+    }
+    part.bytes.resize(options_.read_bytes);
+    auto& body = parser_->get().body();
+    body.data = part.bytes.data();
+    body.size = part.bytes.size();
+    auto [error, size] =
+        co_await beast_http::async_read_some(socket_, buffer_, *parser_, detail::as_result);
+    if (error == beast_http::error::need_buffer) {
+        error = {};
+    }
+    part.bytes.resize(part.bytes.size() - body.size);
+    body.data = nullptr;
+    body.size = 0;
+    part.whole = !error && parser_->is_done();
+    part.broken = static_cast<bool>(error);
+    co_return part;
+}
+
+void backend_call::close() {
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+}
+
+} // namespace tarragonspar::http
--- a/src/http/serve_tls.cpp
+++ b/src/http/serve_tls.cpp
@@ -18,8 +18,7 @@
     if (error) {
         co_return;
     }
-    session<beast::ssl_stream<beast::tcp_stream>> secure(std::move(stream), context.limits,
-                                                         context.stopping);
+    session<beast::ssl_stream<beast::tcp_stream>> secure(std::move(stream), context);
     co_await secure.run(context.handle);
 }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -46,7 +46,9 @@
 
 server::server(asio::io_context& context, server_options options, handler handle)
     : context_(context), options_(std::move(options)), handle_(std::move(handle)),
-      acceptor_(asio::make_strand(context)), tls_(options_.tls) {
+      acceptor_(asio::make_strand(context)),
+      limits_(std::make_shared<const settings::http_limits>(options_.limits)),
+      idle_(std::make_shared<detail::idle_list>()), tls_(options_.tls) {
     const tcp::endpoint endpoint(asio::ip::make_address(options_.listen.address),
                                  options_.listen.port);
     acceptor_.open(endpoint.protocol());
@@ -69,6 +71,15 @@
     });
 }
 
+void server::set_limits(const settings::http_limits& limits) {
+    limits_ = std::make_shared<const settings::http_limits>(limits);
+}
+
+void server::close_idle() {
+    stopping_ = true;
+    idle_->close_all();
+}
+
 void server::set_tls(std::shared_ptr<asio::ssl::context> tls) {
     tls_ = std::move(tls);
 }
@@ -89,7 +100,7 @@
             co_await pause.async_wait(detail::as_result);
             continue;
         }
-        if (connections_ >= options_.limits.max_connections) {
+        if (connections_ >= limits_.load()->max_connections) {
             continue; // dropping the socket closes it
         }
         auto executor = socket.get_executor();
@@ -108,7 +119,7 @@
     socket.set_option(tcp::no_delay(true), ignored);
     const auto tls = tls_.load();
     const detail::session_context context{
-        .limits = options_.limits, .stopping = stopping_, .handle = handle_};
+        .limits = limits_, .stopping = stopping_, .handle = handle_, .idle = *idle_};
     if (tls) {
         co_await detail::serve_tls(std::move(socket), tls, context);
     } else {
--- a/src/routing/server_model.cpp
+++ b/src/routing/server_model.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+/// Part by which a full batch slows each token down, as a first guess.
+constexpr double beside_slowdown = 0.15;
 /// Relative time per token above which a server counts as a straggler.
 constexpr double straggler_slowness = 1.8;
 /// Pause between two dispatches to a straggler, so that its recovery is seen.
@@ -22,13 +24,26 @@
     for (const auto& name : description.offers) {
         model.offers.push_back({hash_name(name)});
     }
-    model.in_flight_window =
-        make_window({.initial = static_cast<double>(std::max(1U, description.slots))});
+    window_options limits{.initial = static_cast<double>(std::max(1U, description.slots))};
+    if (description.slots_are_exact) {
+        // More would wait inside the server, which knows no tiers.
+        limits.max = limits.initial;
+    }
+    model.in_flight_window = make_window(limits);
     return model;
 }
 
 prediction predict(const server_model& server, const work_item& work, token_count output) {
     prediction result;
+    // Requests beside it slow a request down; among equal servers the emptier one wins.
+    const auto beside = server.in_flight / std::max(1.0, server.in_flight_window.size);
+    if (server.kind == config::server_kind::service) {
+        const auto seconds = server.speed.fixed_seconds +
+                             server.speed.decode_seconds_per_token * (1.0 + beside);
+        result.first_token = from_seconds(seconds);
+        result.finish = result.first_token;
+        return result;
+    }
     result.cached_blocks = server.cache.match(work.blocks);
     const auto cached = static_cast<std::uint32_t>(result.cached_blocks * block_tokens);
     result.computed = {work.prompt.value - std::min(work.prompt.value, cached)};
@@ -36,7 +51,8 @@
                          server.speed.prefill_tokens_per_second;
     const auto first = server.speed.fixed_seconds + prefill;
     result.first_token = from_seconds(first);
-    result.finish = from_seconds(first + output.value * server.speed.decode_seconds_per_token);
+    result.finish = from_seconds(first + output.value * server.speed.decode_seconds_per_token *
+                                             (1.0 + beside_slowdown * beside));
     return result;
 }
 
@@ -64,10 +80,13 @@
 }
 
 bool has_room(const server_model& server, time_point now) {
-    if (server.state != config::server_state::active || !allows(server.breaker, now)) {
+    if (server.state != config::server_state::active) {
+        return false;
+    }
+    if (!server.keep_in_use && !allows(server.breaker, now)) {
         return false;
     }
-    if (is_on_trial(server.breaker) && server.in_flight > 0) {
+    if (!server.keep_in_use && is_on_trial(server.breaker) && server.in_flight > 0) {
         return false;
     }
     if (is_straggler(server) && server.in_flight > 0 &&
--- a/src/runtime/control_commands.cpp
+++ b/src/runtime/control_commands.cpp
@@ -7,6 +7,7 @@
 
 #include "tarragonspar/runtime/await_reply.hpp"
 #include "tarragonspar/runtime/clock.hpp"
+#include "tarragonspar/types/cbor.hpp"
 
 namespace tarragonspar::runtime {
 
@@ -34,7 +35,7 @@
     }
     next_join_ = now() + join_interval;
     const auto payload = json{{"join", replica_->self.value}}.dump();
-    for (const auto peer : options_.replicas) {
+    for (const auto peer : other_replicas()) {
         node_.ask(peer, wire::topic::change, payload, [](std::optional<wire::answer>) {});
     }
 }
@@ -90,7 +91,8 @@
     if (options_.replica) {
         list.push_back(options_.self);
     }
-    list.insert(list.end(), options_.replicas.begin(), options_.replicas.end());
+    const auto others = other_replicas();
+    list.insert(list.end(), others.begin(), others.end());
     return list;
 }
 
@@ -168,6 +170,13 @@
             reply({.known = self->options_.replica, .payload = json{{"term", term}}.dump()});
             return;
         }
+        if (about == wire::topic::published) {
+            self->read_here([reply](std::optional<config::document> newest) {
+                reply({.known = newest.has_value(),
+                       .payload = newest ? cbor::encode(json(*newest)) : std::string{}});
+            });
+            return;
+        }
         const auto joining = json::parse(payload, nullptr, false);
         if (joining.is_object() && joining.contains("join")) {
             self->take_join({joining.at("join").get<std::uint64_t>()});
--- /dev/null
+++ b/src/runtime/control_group.cpp
@@ -0,0 +1,203 @@
+// Control groups whose members are not all known beforehand, and the document that they keep.
+
+#include <algorithm>
+
+#include <boost/asio/post.hpp>
+#include <boost/leaf.hpp>
+#include <nlohmann/json.hpp>
+
+#include "tarragonspar/runtime/clock.hpp"
+#include "tarragonspar/runtime/control_service.hpp"
+#include "tarragonspar/telemetry/log.hpp"
+#include "tarragonspar/types/cbor.hpp"
+
+namespace tarragonspar::runtime {
+
+namespace asio = boost::asio;
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+namespace {
+
+/// Time without a word from a voter after which another may take its place. Above the longest
+/// outage that a deployment repairs by itself, so that restarts and cuts change no group.
+constexpr duration absent_voter = std::chrono::seconds{8};
+/// How recently all other voters must have been heard for a voter to be removed.
+constexpr duration present_voter = std::chrono::seconds{1};
+/// Voters below which none is removed: two of three still decide.
+constexpr std::size_t min_voters = 4;
+
+} // namespace
+
+void control_service::listen(document_listener on_document, group_listener on_group) {
+    on_document_ = std::move(on_document);
+    on_group_ = std::move(on_group);
+}
+
+std::vector<instance_id> control_service::other_replicas() const {
+    auto list = options_.replicas;
+    if (options_.open_group && replica_) {
+        const auto members = current_group(*replica_);
+        for (const auto* ids : {&members.voters, &members.learners}) {
+            for (const auto id : *ids) {
+                list.push_back(consensus::instance_of(id));
+            }
+        }
+    }
+    std::sort(list.begin(), list.end());
+    list.erase(std::unique(list.begin(), list.end()), list.end());
+    std::erase(list, options_.self);
+    return list;
+}
+
+std::string control_service::load_founders(bool founding) {
+    // Settings may name other instances at a later start, so the first ones are kept on the disk.
+    const auto path = options_.data_folder + "/founders";
+    std::string fault;
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            if (founding) {
+                founders_ = options_.replicas;
+                founders_.push_back(options_.self);
+                std::sort(founders_.begin(), founders_.end());
+                json list = json::array();
+                for (const auto id : founders_) {
+                    list.push_back(id.value);
+                }
+                return storage::replace_file(path, list.dump());
+            }
+            BOOST_LEAF_AUTO(text, storage::read_file(path));
+            const auto list = json::parse(text, nullptr, false);
+            if (list.is_array()) {
+                for (const auto& id : list) {
+                    founders_.push_back({id.get<std::uint32_t>()});
+                }
+            }
+            return {};
+        },
+        [&](const storage::file_fault& what) { fault = describe(what); },
+        [&] { fault = "the disk can't be used"; });
+    return fault;
+}
+
+void control_service::replace_absent() {
+    const auto may = options_.open_group && replica_ && !failed_ &&
+                     replica_->current == consensus::role::leader && !is_changing_group(*replica_);
+    if (!may) {
+        return;
+    }
+    auto next = current_group(*replica_);
+    if (next.voters.size() < min_voters) {
+        return;
+    }
+    std::optional<consensus::replica_id> absent;
+    for (const auto id : next.voters) {
+        if (id == replica_->self) {
+            continue;
+        }
+        const auto found = replica_->followers.find(id);
+        if (found == replica_->followers.end()) {
+            return;
+        }
+        const auto silent = now() - found->second.heard;
+        if (silent > absent_voter && !absent) {
+            absent = id;
+        } else if (silent > present_voter) {
+            return;
+        }
+    }
+    if (!absent) {
+        return;
+    }
+    std::erase(next.voters, *absent);
+    telemetry::write(
+        telemetry::log_line("control_removes_absent")
+            .add("instance", settings::instance_address(consensus::instance_of(*absent))));
+    step(consensus::propose_group{.token = ++next_token_, .next = std::move(next)});
+}
+
+void control_service::note_group() {
+    if (!on_group_ || !replica_) {
+        return;
+    }
+    group_view view;
+    view.leads = !failed_ && replica_->current == consensus::role::leader;
+    if (view.leads) {
+        view.leader = options_.self;
+    } else if (replica_->leader) {
+        view.leader = consensus::instance_of(*replica_->leader);
+    }
+    view.term = replica_->term;
+    view.members = other_replicas();
+    const auto same = view.leads == reported_.leads && view.leader == reported_.leader &&
+                      view.members == reported_.members && view.term == reported_.term;
+    if (same) {
+        return;
+    }
+    reported_ = view;
+    telemetry::write(
+        telemetry::log_line("control_group")
+            .add("leads", view.leads ? 1 : 0)
+            .add("leader", view.leader ? settings::instance_address(*view.leader) : "none")
+            .add("term", static_cast<std::int64_t>(view.term.value))
+            .add("others", static_cast<std::int64_t>(view.members.size())));
+    on_group_(std::move(view));
+}
+
+void control_service::publish(config::document what, std::function<void(bool)> done) {
+    asio::post(pool_, [self = shared_from_this(), what = std::move(what), done = std::move(done)] {
+        if (self->state_.published.number >= what.number) {
+            done(true); // what was applied here is committed, and only a newer one replaces it
+            return;
+        }
+        self->submit_anywhere(
+            control::encode(control::command{what}), {}, 0,
+            [done](std::optional<std::string> reply) { done(reply.has_value()); });
+    });
+}
+
+void control_service::read_here(std::function<void(std::optional<config::document>)> done) {
+    if (!replica_ || failed_ || replica_->current != consensus::role::leader) {
+        done(std::nullopt);
+        return;
+    }
+    const auto token = ++next_token_;
+    reading_.emplace(token, std::move(done));
+    step(consensus::read_request{.token = token});
+}
+
+void control_service::on_read_ready(const consensus::read_ready& what) {
+    const auto found = reading_.find(what.token);
+    if (found == reading_.end()) {
+        return;
+    }
+    const auto done = std::move(found->second);
+    reading_.erase(found);
+    const auto applied = what.index && applied_ >= *what.index;
+    done(applied ? std::optional{state_.published} : std::nullopt);
+}
+
+void control_service::read_published(
+    std::function<void(std::optional<config::document>)> done) {
+    asio::post(pool_, [self = shared_from_this(), done = std::move(done)] {
+        const auto leader = self->replica_ && self->replica_->leader
+                                ? std::optional{consensus::instance_of(*self->replica_->leader)}
+                                : std::nullopt;
+        if (!leader || *leader == self->options_.self) {
+            self->read_here(done);
+            return;
+        }
+        self->node_.ask(*leader, wire::topic::published, "",
+                        [done](std::optional<wire::answer> answer) {
+                            if (!answer || !answer->known) {
+                                done(std::nullopt);
+                                return;
+                            }
+                            const auto in = json::from_cbor(answer->payload, true, false);
+                            done(in.is_array() ? std::optional{in.get<config::document>()}
+                                               : std::nullopt);
+                        });
+    });
+}
+
+} // namespace tarragonspar::runtime
--- a/src/runtime/control_service.cpp
+++ b/src/runtime/control_service.cpp
@@ -18,7 +18,11 @@
 
 namespace {
 
-constexpr auto tick_interval = std::chrono::milliseconds{20};
+/// Bounds of the pause before the next look at what is due.
+/// Pause before a replica whose disk failed starts again from its files.
+constexpr auto disk_retry = std::chrono::milliseconds{500};
+constexpr duration min_tick = std::chrono::milliseconds{5};
+constexpr duration max_tick = std::chrono::milliseconds{200};
 /// Pause between two tries to find out whether a group exists already.
 constexpr auto identity_retry = std::chrono::milliseconds{200};
 
@@ -63,6 +67,28 @@
     if (!fault.empty()) {
         return fault;
     }
+    if (!disk && options_.open_group) {
+        // Only the settings tell whether a group exists; asking others would let two groups be
+        // founded while they can't reach each other.
+        const auto founding = options_.may_found;
+        disk = founding ? std::uint32_t{0}
+                        : static_cast<std::uint32_t>(random_() % 0x7fffffffU) + 1;
+        fault = load_founders(founding);
+        if (fault.empty()) {
+            fault = run_on_disk([&] {
+                return control::replica_store::write_identity(options_.data_folder, *disk);
+            });
+        }
+        if (!fault.empty()) {
+            return fault;
+        }
+        telemetry::write(telemetry::log_line(founding ? "control_founds" : "control_joins")
+                             .add("disk", *disk));
+    } else if (disk && options_.open_group) {
+        if (fault = load_founders(false); !fault.empty()) {
+            return fault;
+        }
+    }
     if (disk) {
         start_replica(*disk, false);
         return failed_ ? "the control replica's files can't be used; see the log" : std::string{};
@@ -132,13 +158,13 @@
         fail(fault);
         return;
     }
-    LOG(INFO) << telemetry::log_line(exists ? "control_joins" : "control_founds")
-                     .add("disk", disk)
-                     .text();
+    telemetry::write(
+        telemetry::log_line(exists ? "control_joins" : "control_founds").add("disk", disk));
     start_replica(disk, !exists);
 }
 
 void control_service::start_replica(std::uint32_t disk, bool founding) {
+    disk_ = disk;
     consensus::durable_state stored;
     if (!options_.data_folder.empty()) {
         const auto fault = run_on_disk([&]() -> leaf::result<void> {
@@ -155,9 +181,15 @@
     const auto is_first_start = stored.snapshot.members.voters.empty();
     if (is_first_start && (founding || disk == 0)) {
         auto& voters = stored.snapshot.members.voters;
-        voters.push_back(id);
-        for (const auto peer : options_.replicas) {
-            voters.push_back(consensus::make_replica_id(peer, 0));
+        if (options_.open_group) {
+            for (const auto founder : founders_) {
+                voters.push_back(consensus::make_replica_id(founder, 0));
+            }
+        } else {
+            voters.push_back(id);
+            for (const auto peer : options_.replicas) {
+                voters.push_back(consensus::make_replica_id(peer, 0));
+            }
         }
         std::sort(voters.begin(), voters.end());
     }
@@ -172,6 +204,9 @@
     } else {
         state_ = control::decode_state(stored.snapshot_data);
     }
+    if (on_document_ && state_.published.number.value > 0) {
+        on_document_(state_.published);
+    }
     applied_ = stored.snapshot.index;
     replica_ = consensus::make_replica(options_.consensus, id, std::move(stored), now(), random_);
     publish_configuration();
@@ -185,7 +220,13 @@
 // --- running the replica ---
 
 void control_service::schedule_tick() {
-    tick_timer_.expires_after(tick_interval);
+    auto pause = max_tick;
+    if (replica_) {
+        const auto due = replica_->current == consensus::role::leader ? replica_->heartbeat_due
+                                                                      : replica_->election_due;
+        pause = std::clamp(due - now(), min_tick, max_tick);
+    }
+    tick_timer_.expires_after(pause);
     tick_timer_.async_wait([self = weak_from_this()](boost::system::error_code error) {
         const auto held = self.lock();
         if (!error && held) {
@@ -201,6 +242,8 @@
     step(consensus::ticked{});
     compact_if_due();
     ask_to_join();
+    replace_absent();
+    note_group();
     schedule_tick();
 }
 
@@ -209,8 +252,12 @@
         return;
     }
     std::vector<consensus::effect> effects;
+    const auto due = replica_->heartbeat_due;
     consensus::step(*replica_, what, now(), random_, effects);
     carry_out(effects);
+    if (replica_ && replica_->heartbeat_due != due && !std::holds_alternative<consensus::ticked>(what)) {
+        schedule_tick(); // the next heartbeat moved
+    }
 }
 
 bool control_service::flush() {
@@ -245,6 +292,8 @@
             on_applied(ready->what);
         } else if (const auto* in = std::get_if<consensus::proposed>(&effect)) {
             on_proposed(*in);
+        } else if (const auto* read = std::get_if<consensus::read_ready>(&effect)) {
+            on_read_ready(*read);
         } else if (const auto* whole = std::get_if<consensus::restore>(&effect)) {
             restore(whole->data);
         } else if (std::holds_alternative<consensus::store_snapshot>(effect) && store_) {
@@ -254,16 +303,16 @@
                 return;
             }
         } else if (const auto* changed = std::get_if<consensus::role_changed>(&effect)) {
-            LOG(INFO) << telemetry::log_line("control_role")
-                             .add("leads", changed->now == consensus::role::leader ? 1 : 0)
-                             .add("term", static_cast<std::int64_t>(changed->term.value))
-                             .text();
+            telemetry::write(telemetry::log_line("control_role")
+                                 .add("leads", changed->now == consensus::role::leader ? 1 : 0)
+                                 .add("term", static_cast<std::int64_t>(changed->term.value)));
             if (changed->now != consensus::role::leader) {
                 give_up_waiting();
             }
         }
     }
     send_all(messages);
+    note_group();
 }
 
 void control_service::send_all(std::vector<consensus::message>& messages) {
@@ -298,6 +347,16 @@
         const auto before = state_.configuration.current.number;
         const auto command = control::decode_command(what.data);
         reply = control::apply(state_, command);
+        if (const auto* answer = std::get_if<config::document_answer>(&*reply);
+            answer != nullptr && answer->taken) {
+            telemetry::write(
+                telemetry::log_line("document_accepted")
+                    .add("number", static_cast<std::int64_t>(state_.published.number.value))
+                    .add("bytes", static_cast<std::int64_t>(state_.published.content.size())));
+            if (on_document_) {
+                on_document_(state_.published);
+            }
+        }
         if (state_.configuration.current.number != before) {
             remember_change(std::get<config::change>(command), state_.configuration.current.number);
             publish_configuration();
@@ -317,21 +376,40 @@
     applied_ = replica_->snapshot.index;
     recent_.clear();
     publish_configuration();
+    if (on_document_ && state_.published.number.value > 0) {
+        on_document_(state_.published);
+    }
 }
 
 void control_service::compact_if_due() {
     if (!replica_ || failed_) {
         return;
     }
-    if (applied_.value - replica_->snapshot.index.value >= options_.compact_after) {
+    const auto entries = applied_.value - replica_->snapshot.index.value;
+    const auto large = store_ && store_->log_bytes() >= options_.compact_bytes;
+    if (entries >= options_.compact_after || (large && entries > 0)) {
         step(consensus::compacted{.index = applied_, .data = control::encode(state_)});
     }
 }
 
 void control_service::fail(const std::string& why) {
     failed_ = true;
-    LOG(ERROR) << "this instance stops being a control replica: " << why;
+    telemetry::write(telemetry::log_line("control_disk_failed").add("why", why));
     give_up_waiting();
+    if (!options_.open_group || !disk_) {
+        return;
+    }
+    // What is in memory may be ahead of the disk, so the replica starts again from its files.
+    tick_timer_.expires_after(disk_retry);
+    tick_timer_.async_wait([self = weak_from_this()](boost::system::error_code error) {
+        const auto held = self.lock();
+        if (!error && held && !held->stopped_) {
+            held->store_.reset();
+            held->replica_.reset();
+            held->failed_ = false;
+            held->start_replica(*held->disk_, false);
+        }
+    });
 }
 
 void control_service::give_up_waiting() {
--- a/src/settings/instance_settings.cpp
+++ b/src/settings/instance_settings.cpp
@@ -1,5 +1,7 @@
 #include "tarragonspar/settings/instance_settings.hpp"
 
+#include <arpa/inet.h>
+
 #include <charconv>
 #include <filesystem>
 #include <fstream>
@@ -39,6 +41,7 @@
     in.optional("max_connections", out.max_connections, "a number");
     in.optional("stream_buffer_events", out.stream_buffer_events, "a number");
     detail::read_milliseconds(in, "idle_timeout_ms", out.idle_timeout);
+    detail::read_milliseconds(in, "header_timeout_ms", out.header_timeout);
     detail::read_milliseconds(in, "write_timeout_ms", out.write_timeout);
 }
 
@@ -66,11 +69,61 @@
 }
 
 void read_instance(map_reader& in, instance_settings& out) {
-    in.required("id", out.id.value, "a number from 1");
+    std::string address;
+    in.optional("address", address, "an IPv4 address");
+    if (address.empty()) {
+        in.required("id", out.id.value, "a number from 1");
+    } else if (const auto id = parse_instance_address(address)) {
+        out.id = *id;
+    } else {
+        in.reject("address", "an IPv4 address");
+    }
     in.optional("name", out.name, "a name");
     in.required("failure_domain", out.failure_domain, "the name of a failure domain");
 }
 
+void read_role(map_reader& in, instance_settings& out) {
+    std::string role = "whole";
+    in.optional("role", role, "whole, entry or control");
+    if (role == "entry") {
+        out.role = instance_role::entry;
+    } else if (role == "control") {
+        out.role = instance_role::control;
+    } else if (role != "whole") {
+        in.reject("role", "whole, entry or control");
+    }
+}
+
+void read_deployment(map_reader& in, deployment_settings& out) {
+    read_endpoint(in, "readiness", out.readiness, false);
+    read_endpoint(in, "metrics", out.metrics, false);
+    std::vector<std::string> founders;
+    in.optional("founders", founders, "a list of IP:port");
+    for (const auto& text : founders) {
+        const auto at = parse_endpoint(text);
+        if (!at || !parse_instance_address(at->address)) {
+            in.reject("founders", "a list of IP:port");
+            continue;
+        }
+        out.founders.push_back(at->address);
+    }
+    in.optional("first_start", out.first_start, "true or false");
+    read_endpoint(in, "server_list", out.server_list, false);
+    detail::read_milliseconds(in, "grace_ms", out.grace);
+    double grace_s = 0.0;
+    in.optional("grace_s", grace_s, "a number of seconds");
+    if (grace_s > 0.0) {
+        out.grace = std::chrono::milliseconds{static_cast<std::int64_t>(grace_s * 1e3)};
+    }
+    in.optional("retry_ratio", out.retry_ratio, "a share");
+    in.optional("retry_slack", out.retry_slack, "a number of requests");
+    double retry_window_s = 0.0;
+    in.optional("retry_window_s", retry_window_s, "a number of seconds");
+    if (retry_window_s > 0.0) {
+        out.retry_window = std::chrono::milliseconds{static_cast<std::int64_t>(retry_window_s * 1e3)};
+    }
+}
+
 void read_peer(map_reader& in, instance_settings& out) {
     peer item;
     in.required("id", item.id.value, "a number from 1");
@@ -90,6 +143,24 @@
     in.optional("max_file_megabytes", out.max_file_megabytes, "a number of megabytes");
 }
 
+void check_deployment(const instance_settings& value, std::vector<fault>& faults) {
+    if (value.role == instance_role::whole) {
+        return;
+    }
+    if (value.deployment.founders.empty()) {
+        faults.push_back({.path = "deployment.founders", .expected = "at least one IP:port"});
+    }
+    if (value.wire.port == 0) {
+        faults.push_back({.path = "wire.listen", .expected = "IP:port (missing)"});
+    }
+    if (value.role == instance_role::entry && value.deployment.readiness.port == 0) {
+        faults.push_back({.path = "deployment.readiness", .expected = "IP:port (missing)"});
+    }
+    if (value.role == instance_role::control && value.data_folder.empty()) {
+        faults.push_back({.path = "data_folder", .expected = "a folder (missing)"});
+    }
+}
+
 void check_peers(const instance_settings& value, std::vector<fault>& faults) {
     std::set<instance_id> ids{value.id};
     std::size_t replicas = value.control ? 1 : 0;
@@ -121,6 +192,8 @@
         in.reject("http", "a map with listen (missing)");
     }
     in.child("wire", [&](map_reader& item) { read_wire(item, out); });
+    read_role(in, out);
+    in.child("deployment", [&](map_reader& item) { read_deployment(item, out.deployment); });
     in.optional("data_folder", out.data_folder, "a folder");
     in.optional("control", out.control, "true or false");
     in.optional("operator_tokens", out.operator_tokens, "a list of tokens");
@@ -180,6 +253,21 @@
     return out;
 }
 
+std::optional<instance_id> parse_instance_address(const std::string& text) {
+    in_addr address{};
+    if (inet_pton(AF_INET, text.c_str(), &address) != 1) {
+        return std::nullopt;
+    }
+    return instance_id{ntohl(address.s_addr)};
+}
+
+std::string instance_address(instance_id id) {
+    const in_addr address{.s_addr = htonl(id.value)};
+    char text[INET_ADDRSTRLEN]{};
+    inet_ntop(AF_INET, &address, text, sizeof(text));
+    return text;
+}
+
 std::string to_string(const endpoint& value) {
     return value.address + ":" + std::to_string(value.port);
 }
@@ -198,6 +286,7 @@
         return result;
     }
     check_peers(result.value, result.faults);
+    check_deployment(result.value, result.faults);
     for (const auto& sentence : config::find_faults(result.value.configuration)) {
         result.faults.push_back({.path = "configuration", .expected = "no fault: " + sentence});
     }
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -1,11 +1,51 @@
 #include "tarragonspar/telemetry/log.hpp"
 
+#include <atomic>
 #include <filesystem>
 
 #include <glog/logging.h>
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
 
 namespace tarragonspar::telemetry {
 
+namespace {
+
+/// Lines that may wait for the writer: a few seconds of one instance's decisions at its peak.
+constexpr std::size_t max_waiting_lines = 8192;
+/// Lines between two looks at how many were dropped.
+constexpr std::uint32_t drop_check_interval = 256;
+
+std::atomic<bool> decisions_wanted{true};
+
+spdlog::logger& decisions() {
+    static const auto logger = [] {
+        spdlog::init_thread_pool(max_waiting_lines, 1);
+        auto made = spdlog::create_async_nb<spdlog::sinks::stdout_sink_st>("decisions");
+        made->set_pattern("t=%Y-%m-%dT%H:%M:%S.%eZ %v", spdlog::pattern_time_type::utc);
+        return made;
+    }();
+    return *logger;
+}
+
+} // namespace
+
+void write(const log_line& line) {
+    if (!decisions_wanted.load(std::memory_order_relaxed)) {
+        return;
+    }
+    static std::atomic<std::uint32_t> written{0};
+    static std::atomic<std::size_t> reported{0};
+    auto& out = decisions();
+    out.info("event={}", line.text());
+    if (++written % drop_check_interval == 0) {
+        const auto dropped = spdlog::thread_pool()->overrun_counter();
+        if (const auto before = reported.exchange(dropped); dropped > before) {
+            out.warn("event=log_lines_dropped count={}", dropped - before);
+        }
+    }
+}
+
 void start_log(const char* program, const settings::log_settings& settings) {
     FLAGS_logtostderr = settings.folder.empty();
     FLAGS_max_log_size = settings.max_file_megabytes;
@@ -21,6 +61,7 @@
 }
 
 void set_log_level(const std::string& level) {
+    decisions_wanted = level == "info";
     if (level == "error") {
         FLAGS_minloglevel = google::GLOG_ERROR;
     } else if (level == "warning") {
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -1,5 +1,10 @@
 #include "tarragonspar/wire/codec.hpp"
 
+#include <cstring>
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
 #include <algorithm>
 
 namespace tarragonspar::wire {
@@ -99,6 +104,11 @@
     out.setMaxOutputTokens(value.max_output.value);
     out.setIdempotent(value.idempotent);
     out.setTransfers(value.transfers);
+    auto avoid = out.initAvoid(static_cast<unsigned>(value.avoid.size()));
+    for (unsigned i = 0; i < avoid.size(); ++i) {
+        avoid.set(i, value.avoid[i].value);
+    }
+    out.setQuotaUnits(value.quota_units);
     auto blocks = out.initBlocks(static_cast<unsigned>(value.blocks.size()));
     for (unsigned i = 0; i < blocks.size(); ++i) {
         blocks.set(i, value.blocks[i].value);
@@ -118,12 +128,39 @@
     value.max_output = {in.getMaxOutputTokens()};
     value.idempotent = in.getIdempotent();
     value.transfers = in.getTransfers();
+    for (const auto id : in.getAvoid()) {
+        value.avoid.push_back({id});
+    }
+    value.quota_units = in.getQuotaUnits();
     for (const auto block : in.getBlocks()) {
         value.blocks.push_back({block});
     }
     return value;
 }
 
+std::string pack(const work_item& value, time_point now) {
+    capnp::MallocMessageBuilder message;
+    write(message.initRoot<schema::Work>(), value, now);
+    const auto words = capnp::messageToFlatArray(message);
+    const auto bytes = words.asBytes();
+    return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+std::optional<work_item> unpack_work(std::string_view bytes, time_point now) {
+    // The reader asks for whole, aligned words.
+    std::vector<capnp::word> words(bytes.size() / sizeof(capnp::word));
+    std::memcpy(words.data(), bytes.data(), words.size() * sizeof(capnp::word));
+    std::optional<work_item> value;
+    const auto failed = kj::runCatchingExceptions([&] {
+        capnp::FlatArrayMessageReader reader(kj::arrayPtr(words.data(), words.size()));
+        value = read(reader.getRoot<schema::Work>(), now);
+    });
+    if (failed != nullptr) {
+        return std::nullopt;
+    }
+    return value;
+}
+
 void write(schema::Call::Builder out, const dispatch::call_body& value) {
     out.setPlain(value.plain);
     out.setMethod(value.method);
--- a/src/wire/loop.cpp
+++ b/src/wire/loop.cpp
@@ -240,7 +240,13 @@
 }
 
 kj::Promise<kj::Own<outbound_connection>> node::loop::connect(instance_id peer) {
-    const auto found = links_.find(peer);
+    auto found = links_.find(peer);
+    if (found == links_.end() && options_.locate) {
+        if (const auto address = options_.locate(peer)) {
+            found = links_.try_emplace(peer).first;
+            found->second.address = *address;
+        }
+    }
     if (found == links_.end() || cut_.contains(peer)) {
         return KJ_EXCEPTION(DISCONNECTED, "the peer is not reachable");
     }
@@ -279,13 +285,19 @@
 }
 
 kj::Promise<void> node::loop::dropping(kj::Promise<void>&& call, instance_id peer,
-                                       const outbound_connection& over) {
-    return call.catch_([this, peer, &over](kj::Exception&& error) {
-        if (error.getType() == kj::Exception::Type::DISCONNECTED) {
-            drop(peer, over);
-        }
-        kj::throwRecoverableException(kj::mv(error));
-    });
+                                       outbound_connection& over) {
+    return call.then(
+        [&over]() {
+            over.answered = std::chrono::steady_clock::now();
+        },
+        [this, peer, &over](kj::Exception&& error) {
+            const auto silent = std::chrono::steady_clock::now() - over.answered;
+            const auto gone = error.getType() == kj::Exception::Type::DISCONNECTED;
+            if (gone || silent > options_.stale_connection) {
+                drop(peer, over);
+            }
+            kj::throwRecoverableException(kj::mv(error));
+        });
 }
 
 void node::loop::keep_alive(instance_id peer) {
--- a/src/wire/loop.hpp
+++ b/src/wire/loop.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <deque>
 #include <future>
 #include <mutex>
@@ -38,6 +39,7 @@
     capnp::TwoPartyClient client;
     schema::Instance::Client instance;
     int long_calls{0}; ///< enqueued requests under way
+    std::chrono::steady_clock::time_point answered{std::chrono::steady_clock::now()};
 };
 
 /// State of the way to one peer.
@@ -105,9 +107,10 @@
     kj::Promise<kj::Own<outbound_connection>> connect(instance_id peer);
     kj::Promise<void> open_connection(instance_id peer, peer_link& link);
     void drop(instance_id peer, const outbound_connection& broken);
-    /// Closes the connection if the call fails because the peer is gone.
+    /// Closes the connection if the call fails because the peer is gone, or times out on a
+    /// connection that has gone silent.
     kj::Promise<void> dropping(kj::Promise<void>&& call, instance_id peer,
-                               const outbound_connection& over);
+                               outbound_connection& over);
     void keep_alive(instance_id peer);
     kj::Promise<void> watch_silence();
     kj::Promise<void> bounded(kj::Promise<void>&& call);
--- a/src/wire/loop_calls.cpp
+++ b/src/wire/loop_calls.cpp
@@ -94,7 +94,7 @@
         request.setFrom(options_.self.value);
         request.setMessages(
             {reinterpret_cast<const capnp::byte*>(messages.data()), messages.size()});
-        const auto& over = *connection;
+        auto& over = *connection;
         return dropping(bounded(request.send().ignoreResult()), peer, over)
             .attach(kj::mv(connection));
     }));
@@ -117,9 +117,9 @@
                                     .payload = {reinterpret_cast<const char*>(payload_in.begin()),
                                                 payload_in.size()}});
                     });
-                const auto waits = about == topic::key || about == topic::request;
+                const auto waits = about == topic::key || about == topic::request || about == topic::grant;
                 const auto limit = waits ? options_.run_timeout : options_.call_timeout;
-                const auto& over = *connection;
+                auto& over = *connection;
                 return dropping(bounded(kj::mv(call), limit), peer, over)
                     .attach(kj::mv(connection));
             })
