Feasibility is judged on learned speeds only; quotas are stretched within tolerance

Ruled out: better priors, which would fit one deployment only. Change: a server without samples counts as able; dispatch is judged by the shortest likely answer; buckets use 0.5 of the overage and 0.3 of the slack.

--- a/include/tarragonspar/admission/quota.hpp
+++ b/include/tarragonspar/admission/quota.hpp
@@ -27,6 +27,19 @@
     std::unordered_map<workspace_id, bucket> buckets;
 };
 
+/// @brief How far a limit may be stretched.
+struct quota_tolerance {
+    double overage{}; ///< part beyond rate and burst that is allowed
+    double slack{};   ///< units beyond that
+};
+
+/// @brief The limit that is applied, less strict than the one that was set.
+///
+/// Uses part of the tolerance, so that no request within the quota is turned away for the moments
+/// at which requests are counted. The rest covers a second full bucket, at a new leader or at
+/// instances that are cut off.
+[[nodiscard]] quota_limit stretch(const quota_limit& limit, const quota_tolerance& tolerance);
+
 /// @brief Replaces all limits; what is left in a bucket stays, up to the new burst.
 void set_limits(quota_table& target, const std::unordered_map<workspace_id, quota_limit>& limits,
                 time_point now);
--- a/include/tarragonspar/dispatch/scheduler.hpp
+++ b/include/tarragonspar/dispatch/scheduler.hpp
@@ -18,6 +18,7 @@
     double reserve_decay_per_second{0.05}; ///< how fast the observed top-tier peak is forgotten
     double max_reserve_share{0.1};         ///< part of the slots that low tiers can't fill
     double length_quantile{0.75};          ///< of the answer's length, for feasibility
+    double optimistic_quantile{0.05};      ///< of its length, for what could be reached at best
     bool refuse_infeasible{true};          ///< refuse what can't finish in time before dispatch
     bool transfer_to_peers{true};
     duration transfer_wait{std::chrono::milliseconds{150}}; ///< expected wait worth a transfer
--- a/include/tarragonspar/gateway/control_link.hpp
+++ b/include/tarragonspar/gateway/control_link.hpp
@@ -31,7 +31,8 @@
     };
 
     control_link(boost::asio::io_context& context, instance_id self, wire::node& node,
-                 std::vector<instance_id> contacts, hooks uses);
+                 std::vector<instance_id> contacts, const admission::quota_tolerance& tolerance,
+                 hooks uses);
 
     void start();
     void stop();
@@ -77,6 +78,7 @@
     boost::asio::io_context& context_;
     instance_id self_;
     wire::node& node_;
+    admission::quota_tolerance tolerance_;
     hooks uses_;
     boost::asio::steady_timer timer_;
     std::vector<instance_id> contacts_;
--- a/include/tarragonspar/gateway/desk_service.hpp
+++ b/include/tarragonspar/gateway/desk_service.hpp
@@ -22,7 +22,9 @@
     explicit desk_service(boost::asio::io_context& context);
 
     void set_servers(const std::vector<config::server>& servers);
-    void set_quotas(const config::catalogue& from, double share);
+    /// @param share  part of each quota that this desk may hand out
+    void set_quotas(const config::catalogue& from, const admission::quota_tolerance& tolerance,
+                    double share);
     void ask(const work_item& work, dispatch::earlier_grant earlier, reply answer);
     void note(const dispatch::grant_news& news);
     void reconcile(const dispatch::holder_report& report);
--- a/include/tarragonspar/gateway/plumbing.hpp
+++ b/include/tarragonspar/gateway/plumbing.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "tarragonspar/admission/quota.hpp"
 #include "tarragonspar/http/completion_api.hpp"
 #include "tarragonspar/http/server.hpp"
 #include "tarragonspar/runtime/await_reply.hpp"
@@ -25,6 +26,9 @@
 /// @brief The control instances that the settings name.
 [[nodiscard]] std::vector<instance_id> founders_of(const settings::instance_settings& from);
 
+/// @brief How far quotas may be stretched.
+[[nodiscard]] admission::quota_tolerance tolerance_of(const settings::instance_settings& from);
+
 /// @brief A server for the metrics address of the settings, or null where there is none.
 /// @throw boost::system::system_error if the address can't be bound
 [[nodiscard]] std::shared_ptr<http::server>
--- a/include/tarragonspar/routing/server_model.hpp
+++ b/include/tarragonspar/routing/server_model.hpp
@@ -58,6 +58,9 @@
 [[nodiscard]] duration best_case(const server_model& server, const work_item& work,
                                  token_count output);
 
+/// @brief Whether the server's speed was seen, so that a prediction may turn a request away.
+[[nodiscard]] bool is_learned(const server_model& server);
+
 /// @brief Whether the server offers a model or service.
 [[nodiscard]] bool offers(const server_model& server, model_id model);
 
--- a/include/tarragonspar/settings/instance_settings.hpp
+++ b/include/tarragonspar/settings/instance_settings.hpp
@@ -81,6 +81,8 @@
     double retry_ratio{0.2};                ///< repeats that a service's requests allow
     double retry_slack{0.0};                ///< repeats allowed beyond, over all instances
     std::chrono::milliseconds retry_window{10'000};
+    double quota_overage{0.0}; ///< part by which workspaces may exceed their quota
+    double quota_slack{0.0};   ///< units by which they may exceed it besides
 };
 
 /// @brief Settings of one `tarragond`.
--- a/src/admission/quota.cpp
+++ b/src/admission/quota.cpp
@@ -6,6 +6,11 @@
 
 namespace {
 
+/// Part of the allowed overage that is used.
+constexpr double used_overage = 0.5;
+/// Part of the allowed slack that is used.
+constexpr double used_slack = 0.3;
+
 void refill(quota_table::bucket& target, time_point now) {
     const auto elapsed = std::max(0.0, to_seconds(now - target.updated));
     target.units =
@@ -15,6 +20,11 @@
 
 } // namespace
 
+quota_limit stretch(const quota_limit& limit, const quota_tolerance& tolerance) {
+    return {.units_per_second = limit.units_per_second * (1.0 + tolerance.overage * used_overage),
+            .burst = limit.burst + tolerance.slack * used_slack};
+}
+
 void set_limits(quota_table& target, const std::unordered_map<workspace_id, quota_limit>& limits,
                 time_point now) {
     std::erase_if(target.buckets, [&](const auto& item) { return !limits.contains(item.first); });
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -194,7 +194,13 @@
     if (chosen == nullptr || (best_after_wait && *best_after_wait < best.finish)) {
         return nullptr;
     }
-    const auto too_late = target.options.refuse_infeasible && best.finish > left;
+    if (!target.options.refuse_infeasible || !routing::is_learned(*chosen)) {
+        return chosen;
+    }
+    // Most answers are shorter than the cautious prediction; what can only miss is kept back.
+    const auto shortest = target.lengths.predict(work.profile, work.workspace, work.max_output,
+                                                 target.options.optimistic_quantile);
+    const auto too_late = routing::predict(*chosen, work, shortest).finish > left;
     return too_late ? nullptr : chosen;
 }
 
--- a/src/dispatch/shedding.cpp
+++ b/src/dispatch/shedding.cpp
@@ -61,7 +61,7 @@
         if (!routing::offers(server, work.model)) {
             continue;
         }
-        if (routing::best_case(server, work, output) <= left) {
+        if (!routing::is_learned(server) || routing::best_case(server, work, output) <= left) {
             return false;
         }
     }
--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -129,7 +129,7 @@
     }
     const auto read = speaks_->read_catalogue(newest.content);
     newest_ = std::move(newest);
-    desk_->set_quotas(read.value, 1.0);
+    desk_->set_quotas(read.value, tolerance_of(settings_), 1.0);
     metrics_.set_revision(newest_.number.value);
 }
 
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -28,8 +28,9 @@
 } // namespace
 
 control_link::control_link(asio::io_context& context, instance_id self, wire::node& node,
-                           std::vector<instance_id> contacts, hooks uses)
-    : context_(context), self_(self), node_(node), uses_(std::move(uses)), timer_(context),
+                           std::vector<instance_id> contacts,
+                           const admission::quota_tolerance& tolerance, hooks uses)
+    : context_(context), self_(self), node_(node), tolerance_(tolerance), uses_(std::move(uses)), timer_(context),
       contacts_(std::move(contacts)), list_heard_(now()),
       own_desk_(std::make_shared<desk_service>(context)) {
     next_contact_ = contacts_.empty() ? 0 : self_.value % contacts_.size();
@@ -207,7 +208,7 @@
 void control_link::set_document(config::document_number in_force,
                                 const config::catalogue& content) {
     document_ = in_force;
-    own_desk_->set_quotas(content, 1.0 / std::max(1U, entry_instances_));
+    own_desk_->set_quotas(content, tolerance_, 1.0 / std::max(1U, entry_instances_));
 }
 
 void control_link::set_servers(std::vector<config::server> servers) {
--- a/src/gateway/desk_service.cpp
+++ b/src/gateway/desk_service.cpp
@@ -23,14 +23,17 @@
     carry_out(made);
 }
 
-void desk_service::set_quotas(const config::catalogue& from, double share) {
+void desk_service::set_quotas(const config::catalogue& from,
+                              const admission::quota_tolerance& tolerance, double share) {
     std::unordered_map<workspace_id, admission::quota_limit> limits;
     for (const auto& item : from.workspaces) {
         if (item.quota.units_per_second > 0.0) {
-            limits.emplace(workspace_id{hash_name(item.name)},
-                           admission::quota_limit{.units_per_second =
-                                                      item.quota.units_per_second * share,
-                                                  .burst = item.quota.burst * share});
+            auto limit = admission::stretch({.units_per_second = item.quota.units_per_second,
+                                             .burst = item.quota.burst},
+                                            tolerance);
+            limit.units_per_second *= share;
+            limit.burst *= share;
+            limits.emplace(workspace_id{hash_name(item.name)}, limit);
         }
     }
     admission::set_limits(desk_.quotas, limits, now());
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -75,7 +75,7 @@
     };
     uses.on_list_wanted = [this](bool wanted) { directory_->set_wanted(wanted && !leaving_); };
     link_ = std::make_shared<control_link>(context_, settings_.id, *node_, founders_of(settings_),
-                                           std::move(uses));
+                                           tolerance_of(settings_), std::move(uses));
 }
 
 std::string entry_instance::start() {
--- a/src/gateway/plumbing.cpp
+++ b/src/gateway/plumbing.cpp
@@ -29,6 +29,10 @@
     return ids;
 }
 
+admission::quota_tolerance tolerance_of(const settings::instance_settings& from) {
+    return {.overage = from.deployment.quota_overage, .slack = from.deployment.quota_slack};
+}
+
 std::shared_ptr<http::server> make_metrics_server(boost::asio::io_context& context,
                                                   const settings::instance_settings& from,
                                                   const telemetry::metrics& shown) {
--- a/src/routing/server_model.cpp
+++ b/src/routing/server_model.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+/// Samples from which on a speed counts as known.
+constexpr std::uint32_t min_samples = 3;
 /// Part by which a full batch slows each token down, as a first guess.
 constexpr double beside_slowdown = 0.15;
 /// Relative time per token above which a server counts as a straggler.
@@ -63,6 +65,12 @@
                         output.value * server.speed.decode_seconds_per_token);
 }
 
+bool is_learned(const server_model& server) {
+    return server.speed.decode_samples >= min_samples &&
+           (server.kind == config::server_kind::service ||
+            server.speed.prefill_samples >= min_samples);
+}
+
 bool offers(const server_model& server, model_id model) {
     return std::find(server.offers.begin(), server.offers.end(), model) != server.offers.end();
 }
--- a/src/settings/instance_settings.cpp
+++ b/src/settings/instance_settings.cpp
@@ -117,6 +117,8 @@
     }
     in.optional("retry_ratio", out.retry_ratio, "a share");
     in.optional("retry_slack", out.retry_slack, "a number of requests");
+    in.optional("quota_overage", out.quota_overage, "a share");
+    in.optional("quota_slack", out.quota_slack, "a number of units");
     double retry_window_s = 0.0;
     in.optional("retry_window_s", retry_window_s, "a number of seconds");
     if (retry_window_s > 0.0) {
