On time first inside a tier, bounded wait, grants asked again; two faults mended

Change: candidates that can still meet their objective go first; what would wait over 2 s is refused at once, newest of the least urgent tier first; a request whose objective only a faster, full server can meet waits for it; exact slots have a fixed window; the caller's estimate of the length; the process leaves when no connection is left; elections after 0.9 to 1.8 s.

--- a/include/tarragonspar/admission/tier_queue.hpp
+++ b/include/tarragonspar/admission/tier_queue.hpp
@@ -52,10 +52,15 @@
 
     /// @brief The items that would be served next, at most `limit` of them, in order.
     ///
-    /// Inside a tier, only the workspaces that are eligible now are looked at.
+    /// Inside a tier, only the workspaces that are eligible now are looked at, and requests that
+    /// can still meet their latency objective go before those that can't. Answers bursts: where all
+    /// are served in order of arrival, all are late.
     /// @par Complexity  linear in the items passed over
-    [[nodiscard]] std::vector<const queued_item*> candidates(tier max_urgency,
-                                                             std::size_t limit) const;
+    [[nodiscard]] std::vector<const queued_item*>
+    candidates(tier max_urgency, std::size_t limit, time_point now = time_point::min()) const;
+
+    /// @brief The request of the least urgent tier that is due last, or null.
+    [[nodiscard]] const queued_item* newest_of_lowest_tier() const;
 
     /// @brief Removes an item that is about to be dispatched and charges its workspace.
     std::optional<queued_item> take(const request_id& id);
@@ -113,7 +118,7 @@
     void charge(const queued_item& item);
     void forget_idle_lanes(tier_lanes& lanes);
     [[nodiscard]] const queued_item* peek_tier(const tier_lanes& lanes) const;
-    void collect(const tier_lanes& lanes, std::size_t limit,
+    void collect(const tier_lanes& lanes, std::size_t limit, time_point now,
                  std::vector<const queued_item*>& out) const;
 
     queue_options options_;
--- a/include/tarragonspar/consensus/replica.hpp
+++ b/include/tarragonspar/consensus/replica.hpp
@@ -15,9 +15,9 @@
 
 /// @brief Times and sizes of a replica.
 struct replica_options {
-    duration election_min{std::chrono::milliseconds{1200}};
-    duration election_max{std::chrono::milliseconds{2400}};
-    duration heartbeat{std::chrono::milliseconds{400}};
+    duration election_min{std::chrono::milliseconds{900}};
+    duration election_max{std::chrono::milliseconds{1800}};
+    duration heartbeat{std::chrono::milliseconds{300}};
     std::size_t max_entries_per_message{64};
     std::size_t snapshot_chunk_bytes{64 * 1024};
 };
--- a/include/tarragonspar/dispatch/detail/shedding.hpp
+++ b/include/tarragonspar/dispatch/detail/shedding.hpp
@@ -31,6 +31,9 @@
 /// that keeps less urgent work.
 void shed_least_worthy(scheduler& target, time_point now, std::vector<effect>& effects);
 
+/// @brief Refuses what would wait too long at once, rather than after a wait that helps nobody.
+void bound_wait(scheduler& target, model_id model, time_point now, std::vector<effect>& effects);
+
 /// @brief Hands every queued request to some peer, or refuses it where there is none.
 void drain_queue(scheduler& target, time_point now, std::vector<effect>& effects);
 
--- a/include/tarragonspar/dispatch/grant_desk.hpp
+++ b/include/tarragonspar/dispatch/grant_desk.hpp
@@ -62,6 +62,9 @@
     std::vector<std::uint64_t> waiting; ///< sequence numbers
 };
 
+/// @brief Options of a scheduler that has all servers of a service, and no peers.
+[[nodiscard]] scheduler_options desk_options();
+
 /// @brief One queue over all servers of a service: who may send a request, where to, and when.
 ///
 /// Requests stay with the instance that took them (the holder), which alone sends them. The desk
@@ -74,7 +77,7 @@
         time_point heard{};
         std::map<std::uint64_t, time_point> missing; ///< granted, but not reported since then
     };
-    scheduler decisions;
+    scheduler decisions{.options = desk_options()};
     std::map<server_id, config::server> servers;
     admission::quota_table quotas;
     std::map<instance_id, holder_state> holders;
--- a/include/tarragonspar/dispatch/scheduler.hpp
+++ b/include/tarragonspar/dispatch/scheduler.hpp
@@ -20,6 +20,11 @@
     double length_quantile{0.75};          ///< of the answer's length, for feasibility
     double optimistic_quantile{0.05};      ///< of its length, for what could be reached at best
     bool refuse_infeasible{true};          ///< refuse what can't finish in time before dispatch
+    /// Predicted time to serve all that waits for a model, above which the newest request of the
+    /// least urgent tier is refused; 0: not bounded.
+    double max_wait_seconds{0.0};
+    duration min_retry_after{std::chrono::seconds{1}};
+    duration max_retry_after{std::chrono::seconds{60}};
     bool transfer_to_peers{true};
     duration transfer_wait{std::chrono::milliseconds{150}}; ///< expected wait worth a transfer
 };
--- a/include/tarragonspar/gateway/control_link.hpp
+++ b/include/tarragonspar/gateway/control_link.hpp
@@ -59,10 +59,12 @@
     }
 
 private:
-    struct waiting_locally {
+    /// A question without a verdict yet.
+    struct open_question {
         work_item work;
         dispatch::earlier_grant earlier;
         desk_service::reply answer;
+        std::uint64_t asked{}; ///< number of the time it was asked; other answers are too late
     };
 
     void report();
@@ -70,10 +72,12 @@
     void on_news(instance_id from, std::optional<wire::answer> answer);
     void set_scheduler(std::optional<instance_id> scheduler);
     void choose_target(std::optional<instance_id> leader);
-    void ask_remotely(const work_item& work, dispatch::earlier_grant earlier,
-                      desk_service::reply answer);
-    void ask_locally(const work_item& work, dispatch::earlier_grant earlier,
-                     desk_service::reply answer);
+    void ask_all_again();
+    void send_question(open_question& question);
+    void ask_scheduler(const open_question& question);
+    void ask_own_desk(const open_question& question);
+    void take_verdict(const request_id& id, std::uint64_t asked,
+                      std::optional<dispatch::verdict> what);
 
     boost::asio::io_context& context_;
     instance_id self_;
@@ -92,7 +96,8 @@
     std::uint64_t servers_mark_{};
     std::vector<config::server> servers_;
     std::shared_ptr<desk_service> own_desk_;
-    std::unordered_map<request_id, waiting_locally> local_;
+    std::unordered_map<request_id, open_question> questions_;
+    std::uint64_t asked_{0};
     bool stopped_{false};
 };
 
--- a/include/tarragonspar/gateway/dialect.hpp
+++ b/include/tarragonspar/gateway/dialect.hpp
@@ -28,6 +28,7 @@
     std::optional<std::chrono::milliseconds> time_left; ///< as the caller said it
     token_count prompt;
     token_count max_output;
+    token_count expected_output; ///< the caller's estimate; 0: none
     std::vector<prompt_part> parts;
     std::optional<std::uint64_t> resume_after; ///< last event that the caller has
     http::header_list passed_on; ///< headers for the server, as they came
--- a/include/tarragonspar/types/work.hpp
+++ b/include/tarragonspar/types/work.hpp
@@ -16,12 +16,14 @@
     std::uint64_t profile{};        ///< hash of the profile's name
     time_point arrival;             ///< when the entry instance read the whole request
     time_point deadline;            ///< when the whole answer is worthless to the caller
+    time_point objective{};         ///< when the answer should begin; zero: none is stated
     token_count prompt;             ///< length of the prompt; 0 for plain services
     token_count max_output;         ///< the caller's own limit on the answer's length
     std::vector<block_hash> blocks; ///< chain hashes of the prompt's whole blocks
     bool idempotent{true};          ///< whether the profile allows a second run
     std::uint8_t transfers{};       ///< times the item moved between owners
     std::vector<server_id> avoid;   ///< servers that have failed this request already
+    token_count expected_output;    ///< the caller's estimate of the answer's length; 0: none
     std::uint32_t quota_units{};    ///< what it counts against its workspace's quota
 };
 
--- a/include/tarragonspar/wire/schema/instance.capnp.h
+++ b/include/tarragonspar/wire/schema/instance.capnp.h
@@ -83,7 +83,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9f94c6cef8b46c80, 7, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(9f94c6cef8b46c80, 9, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -727,6 +727,10 @@
 
   inline  ::uint32_t getQuotaUnits() const;
 
+  inline  ::uint32_t getExpectedOutput() const;
+
+  inline  ::int64_t getObjectiveUs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -811,6 +815,12 @@
   inline  ::uint32_t getQuotaUnits();
   inline void setQuotaUnits( ::uint32_t value);
 
+  inline  ::uint32_t getExpectedOutput();
+  inline void setExpectedOutput( ::uint32_t value);
+
+  inline  ::int64_t getObjectiveUs();
+  inline void setObjectiveUs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3852,6 +3862,34 @@
       ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Work::Reader::getExpectedOutput() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Work::Builder::getExpectedOutput() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+inline void Work::Builder::setExpectedOutput( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Work::Reader::getObjectiveUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Work::Builder::getObjectiveUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Work::Builder::setObjectiveUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Call::Reader::getPlain() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/schema/instance.capnp
+++ b/schema/instance.capnp
@@ -27,6 +27,9 @@
   avoid @12 :List(UInt32);
   # Servers that have failed this request already.
   quotaUnits @13 :UInt32;
+  expectedOutput @14 :UInt32;
+  objectiveUs @15 :Int64;
+  # Remaining time to the latency objective; the least value means that none is stated.
 }
 
 struct Call {
--- a/src/admission/tier_queue.cpp
+++ b/src/admission/tier_queue.cpp
@@ -9,10 +9,15 @@
 /// Remembered workspaces above which idle ones are dropped.
 constexpr std::size_t max_idle_lanes = 64;
 
+/// The moment that a request is ordered by: its latency objective, or its deadline.
+time_point due(const work_item& work) {
+    return work.objective == time_point{} ? work.deadline : work.objective;
+}
+
 } // namespace
 
 void tier_queue::push(const queued_item& item) {
-    const deadline_key key{item.work.deadline, item.work.id};
+    const deadline_key key{due(item.work), item.work.id};
     auto& lanes = tiers_.at(item.work.urgency.value);
     auto& own = lanes.lanes[item.work.workspace];
     if (own.order.empty()) {
@@ -22,17 +27,17 @@
     own.order.insert(key);
     lanes.order.insert(key);
     lanes.work_seconds += item.cost_seconds;
-    deadlines_.insert(key);
+    deadlines_.emplace(item.work.deadline, item.work.id);
     items_.emplace(item.work.id, item);
 }
 
 void tier_queue::unlink(const queued_item& item) {
-    const deadline_key key{item.work.deadline, item.work.id};
+    const deadline_key key{due(item.work), item.work.id};
     auto& lanes = tiers_.at(item.work.urgency.value);
     auto& own = lanes.lanes.at(item.work.workspace);
     own.order.erase(key);
     lanes.order.erase(key);
-    deadlines_.erase(key);
+    deadlines_.erase({item.work.deadline, item.work.id});
     lanes.work_seconds = lanes.order.empty() ? 0.0 : lanes.work_seconds - item.cost_seconds;
     if (own.order.empty()) {
         lanes.backlogged.erase({own.virtual_time, item.work.workspace});
@@ -116,31 +121,39 @@
     return nullptr;
 }
 
-void tier_queue::collect(const tier_lanes& lanes, std::size_t limit,
+void tier_queue::collect(const tier_lanes& lanes, std::size_t limit, time_point now,
                          std::vector<const queued_item*>& out) const {
     if (lanes.backlogged.empty()) {
         return;
     }
     const auto last = lanes.backlogged.begin()->first + options_.fairness_slack_seconds;
-    for (const auto& [deadline, id] : lanes.order) {
-        if (out.size() >= limit) {
-            return;
-        }
-        const auto& item = items_.at(id);
-        if (lanes.lanes.at(item.work.workspace).virtual_time <= last) {
-            out.push_back(&item);
+    const auto first_on_time = lanes.order.lower_bound({now, request_id{}});
+    const auto add = [&](auto from, auto to) {
+        for (; from != to && out.size() < limit; ++from) {
+            const auto& item = items_.at(from->second);
+            if (lanes.lanes.at(item.work.workspace).virtual_time <= last) {
+                out.push_back(&item);
+            }
         }
-    }
+    };
+    add(first_on_time, lanes.order.end());
+    add(lanes.order.begin(), first_on_time);
 }
 
-std::vector<const queued_item*> tier_queue::candidates(tier max_urgency, std::size_t limit) const {
+std::vector<const queued_item*> tier_queue::candidates(tier max_urgency, std::size_t limit,
+                                                       time_point now) const {
     std::vector<const queued_item*> out;
     for (std::uint8_t level = 0; level <= max_urgency.value; ++level) {
-        collect(tiers_.at(level), limit, out);
+        collect(tiers_.at(level), limit, now, out);
     }
     return out;
 }
 
+const queued_item* tier_queue::newest_of_lowest_tier() const {
+    const auto lowest = lowest_tier();
+    return lowest ? &items_.at(tiers_.at(lowest->value).order.rbegin()->second) : nullptr;
+}
+
 const queued_item* tier_queue::find(const request_id& id) const {
     const auto found = items_.find(id);
     return found == items_.end() ? nullptr : &found->second;
--- a/src/dispatch/grant_desk.cpp
+++ b/src/dispatch/grant_desk.cpp
@@ -65,8 +65,26 @@
     return ids;
 }
 
+/// Wait that is still worth it: later, callers have given up or the answer earns little.
+constexpr double max_wait_seconds = 2.0;
+/// Callers come back only if that leaves them time, which a third of a short deadline does.
+constexpr duration min_retry_after = std::chrono::milliseconds{250};
+constexpr duration max_retry_after = std::chrono::milliseconds{1'000};
+
 } // namespace
 
+scheduler_options desk_options() {
+    scheduler_options options;
+    options.max_wait_seconds = max_wait_seconds;
+    options.min_retry_after = min_retry_after;
+    options.max_retry_after = max_retry_after;
+    options.transfer_to_peers = false;
+    // A slot becomes free every few milliseconds in one queue over all servers, and the most urgent
+    // tier gets it first, so no slot needs to be kept for it.
+    options.max_reserve_share = 0.0;
+    return options;
+}
+
 void set_servers(grant_desk& target, const std::vector<config::server>& servers, time_point now,
                  std::vector<decision>& out) {
     target.servers.clear();
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -147,6 +147,9 @@
 }
 
 token_count predicted_output(const scheduler& source, const work_item& work) {
+    if (work.expected_output.value > 0) {
+        return std::min(work.expected_output, work.max_output);
+    }
     return source.lengths.predict(work.profile, work.workspace, work.max_output,
                                   source.options.length_quantile);
 }
@@ -158,6 +161,37 @@
     return root && source.prefixes_underway.contains(*root);
 }
 
+/// Whether a server, full or not, would finish a request in time.
+bool some_server_finishes(const scheduler& source, const work_item& work, token_count output,
+                          duration left, time_point now) {
+    return std::any_of(source.servers.begin(), source.servers.end(), [&](const auto& entry) {
+        const auto& server = entry.second;
+        return server.state == config::server_state::active && routing::offers(server, work.model) &&
+               routing::allows(server.breaker, now) && routing::is_learned(server) &&
+               routing::predict(server, work, output).finish <= left;
+    });
+}
+
+/// Whether a request would miss its latency objective on the server that is free, and would meet it
+/// on a faster one that is full now. Answers long prompts beside engines of unlike speed.
+bool is_better_waited(const scheduler& source, const work_item& work, duration first_token,
+                      time_point now) {
+    if (work.objective == time_point{} || now + first_token <= work.objective) {
+        return false;
+    }
+    const auto service = source.pools.at(work.model).service_seconds;
+    return std::any_of(source.servers.begin(), source.servers.end(), [&](const auto& entry) {
+        const auto& server = entry.second;
+        if (server.state != config::server_state::active || !routing::is_learned(server) ||
+            !routing::offers(server, work.model) || !routing::allows(server.breaker, now) ||
+            routing::has_room(server, now)) {
+            return false;
+        }
+        const auto wait = from_seconds(service / routing::usable_window(server));
+        return now + wait + routing::predict(server, work, {}).first_token <= work.objective;
+    });
+}
+
 /// The server with room that would finish a request first; null too when a full one with more of
 /// the prompt in its cache would still finish sooner.
 routing::server_model* best_server(scheduler& target, const work_item& work, time_point now,
@@ -186,6 +220,10 @@
             continue;
         }
         const auto predicted = routing::predict(server, work, output);
+        if (predicted.finish > left && routing::is_learned(server) &&
+            some_server_finishes(target, work, output, left, now)) {
+            continue; // waits for a faster server rather than run out of time on a slow one
+        }
         if (chosen == nullptr || predicted.finish < best.finish) {
             chosen = &server;
             best = predicted;
@@ -194,6 +232,9 @@
     if (chosen == nullptr || (best_after_wait && *best_after_wait < best.finish)) {
         return nullptr;
     }
+    if (is_better_waited(target, work, best.first_token, now)) {
+        return nullptr;
+    }
     if (!target.options.refuse_infeasible || !routing::is_learned(*chosen)) {
         return chosen;
     }
@@ -238,7 +279,7 @@
     if (!allowed) {
         return false;
     }
-    for (const auto* candidate : pool.queue.candidates(*allowed, max_lookahead)) {
+    for (const auto* candidate : pool.queue.candidates(*allowed, max_lookahead, now)) {
         if (prefix_is_underway(target, candidate->work)) {
             continue;
         }
@@ -398,6 +439,9 @@
     }
     dispatch_ready(target, now, effects);
     enforce_bound(target, now, effects);
+    if (target.queued_model.contains(work.id)) {
+        detail::bound_wait(target, work.model, now, effects);
+    }
     if (target.queued_model.contains(work.id)) {
         detail::shed_infeasible(target, now, effects);
     }
--- a/src/dispatch/shedding.cpp
+++ b/src/dispatch/shedding.cpp
@@ -8,9 +8,6 @@
 
 /// Answer length quantile for what could be reached at best.
 constexpr double optimistic_quantile = 0.05;
-/// Longest pause that a refused caller is asked to make.
-constexpr duration max_retry_after = std::chrono::seconds{60};
-constexpr duration min_retry_after = std::chrono::seconds{1};
 /// Times that one request may move between owners.
 constexpr std::uint8_t max_transfers = 2;
 /// How much a saved prefill counts against a wait: it also spares the engine's capacity.
@@ -194,7 +191,7 @@
 duration retry_after(const scheduler& source, const model_pool& pool, model_id model) {
     const auto slots = std::max(1U, total_slots(source, model));
     const auto wait = from_seconds(pool.queue.work_ahead({tier_count - 1}) / slots);
-    return std::clamp(wait, min_retry_after, max_retry_after);
+    return std::clamp(wait, source.options.min_retry_after, source.options.max_retry_after);
 }
 
 std::optional<admission::queued_item> remove_queued(scheduler& target, const request_id& id) {
@@ -291,6 +288,19 @@
     refuse_queued(target, worst->work.id, reason::overloaded, now, effects);
 }
 
+void bound_wait(scheduler& target, model_id model, time_point now, std::vector<effect>& effects) {
+    const auto limit = target.options.max_wait_seconds;
+    if (limit <= 0.0) {
+        return;
+    }
+    const auto& queue = target.pools.at(model).queue;
+    const auto slots = static_cast<double>(std::max(1U, total_slots(target, model)));
+    while (queue.size() > 1 && queue.work_ahead({tier_count - 1}) / slots > limit) {
+        refuse_queued(target, queue.newest_of_lowest_tier()->work.id, reason::overloaded, now,
+                      effects);
+    }
+}
+
 void drain_queue(scheduler& target, time_point now, std::vector<effect>& effects) {
     std::vector<std::pair<request_id, model_id>> waiting(target.queued_model.begin(),
                                                          target.queued_model.end());
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -21,7 +21,7 @@
 /// Pause while no leader is known: short, since grants are poorer meanwhile.
 constexpr auto search_interval = std::chrono::milliseconds{100};
 /// Silence of the leader after which grants are given here.
-constexpr duration leader_silence = std::chrono::milliseconds{1'200};
+constexpr duration leader_silence = std::chrono::milliseconds{800};
 /// Age of the list of servers from which on it is read here.
 constexpr duration list_silence = std::chrono::milliseconds{1'500};
 
@@ -143,61 +143,87 @@
             .add("entry_instances", static_cast<std::int64_t>(entry_instances_)));
     if (!scheduler) {
         choose_target(std::nullopt);
-        return;
     }
-    // What waits here waits better in the one queue over all servers.
-    auto waiting = std::exchange(local_, {});
-    for (auto& [id, item] : waiting) {
+    // With a scheduler, what waits here waits better in the one queue over all servers; without
+    // one, nobody else answers what was asked.
+    ask_all_again();
+}
+
+void control_link::ask_all_again() {
+    for (auto& [id, question] : questions_) {
+        // First the new number, so that the answer to the old question changes nothing here.
+        send_question(question);
         own_desk_->note({.id = id, .kind = dispatch::grant_news::what::withdrawn});
-        ask_remotely(item.work, item.earlier, std::move(item.answer));
     }
 }
 
 void control_link::ask(const work_item& work, dispatch::earlier_grant earlier,
                        desk_service::reply answer) {
-    if (scheduler_) {
-        ask_remotely(work, earlier, std::move(answer));
-    } else {
-        ask_locally(work, earlier, std::move(answer));
-    }
+    auto& question = questions_[work.id];
+    question = {.work = work, .earlier = earlier, .answer = std::move(answer)};
+    send_question(question);
+}
+
+void control_link::send_question(open_question& question) {
+    question.asked = ++asked_;
+    // The verdict may come at once and end the question, so it is sent later.
+    asio::post(context_, [self = shared_from_this(), id = question.work.id, asked = asked_] {
+        const auto found = self->questions_.find(id);
+        if (found == self->questions_.end() || found->second.asked != asked) {
+            return;
+        }
+        const auto copy = found->second;
+        if (self->scheduler_) {
+            self->ask_scheduler(copy);
+        } else {
+            self->ask_own_desk(copy);
+        }
+    });
 }
 
-void control_link::ask_remotely(const work_item& work, dispatch::earlier_grant earlier,
-                                desk_service::reply answer) {
+void control_link::ask_scheduler(const open_question& question) {
     const auto asked = *scheduler_;
-    const grant_question question{.work = work, .earlier = earlier};
-    node_.ask(asked, wire::topic::grant, pack(question, now()),
-              [self = shared_from_this(), work, earlier, answer = std::move(answer),
+    node_.ask(asked, wire::topic::grant,
+              pack(grant_question{.work = question.work, .earlier = question.earlier}, now()),
+              [self = shared_from_this(), id = question.work.id, number = question.asked,
                asked](std::optional<wire::answer> said) {
-                  asio::post(self->context_, [self, work, earlier, answer, asked, said] {
+                  asio::post(self->context_, [self, id, number, asked, said] {
                       const auto what = said && said->known ? unpack_verdict(said->payload)
                                                             : std::optional<dispatch::verdict>{};
-                      if (what) {
-                          answer(*what);
-                          return;
-                      }
-                      if (self->scheduler_ == asked) {
+                      if (!what && self->scheduler_ == asked) {
                           self->set_scheduler(std::nullopt);
+                          return; // all open questions were asked again
                       }
-                      self->ask(work, earlier, answer);
+                      self->take_verdict(id, number, what);
                   });
               });
 }
 
-void control_link::ask_locally(const work_item& work, dispatch::earlier_grant earlier,
-                               desk_service::reply answer) {
-    local_.insert_or_assign(work.id,
-                            waiting_locally{.work = work, .earlier = earlier, .answer = answer});
-    own_desk_->ask(work, earlier,
-                   [self = shared_from_this(), id = work.id,
-                    answer = std::move(answer)](const dispatch::verdict& what) {
-                       self->local_.erase(id);
-                       answer(what);
+void control_link::ask_own_desk(const open_question& question) {
+    own_desk_->ask(question.work, question.earlier,
+                   [self = shared_from_this(), id = question.work.id,
+                    number = question.asked](const dispatch::verdict& what) {
+                       self->take_verdict(id, number, what);
                    });
 }
 
+void control_link::take_verdict(const request_id& id, std::uint64_t asked,
+                                std::optional<dispatch::verdict> what) {
+    const auto found = questions_.find(id);
+    if (found == questions_.end() || found->second.asked != asked) {
+        return; // a grant that comes too late is missing from the next reports, and so taken back
+    }
+    if (!what) {
+        send_question(found->second);
+        return;
+    }
+    const auto answer = std::move(found->second.answer);
+    questions_.erase(found);
+    answer(std::move(*what));
+}
+
 void control_link::note(const dispatch::grant_news& news) {
-    local_.erase(news.id);
+    questions_.erase(news.id);
     own_desk_->note(news);
     if (scheduler_) {
         node_.ask(*scheduler_, wire::topic::grant_news, pack(news),
--- a/src/gateway/desk_service.cpp
+++ b/src/gateway/desk_service.cpp
@@ -48,7 +48,11 @@
 
 void desk_service::note(const dispatch::grant_news& news) {
     if (news.kind == dispatch::grant_news::what::withdrawn) {
-        asking_.erase(news.id);
+        if (const auto found = asking_.find(news.id); found != asking_.end()) {
+            const auto answer = std::move(found->second);
+            asking_.erase(found);
+            answer(dispatch::refusal{.why = reason::caller_gone, .retry_after = {}});
+        }
     }
     std::vector<dispatch::decision> made;
     dispatch::note(desk_, news, now(), made);
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -113,15 +113,18 @@
     telemetry::write(telemetry::log_line("leaving").add(
         "open_requests", static_cast<std::int64_t>(open_count_.load())));
     std::this_thread::sleep_for(leave_notice);
-    front_->close_idle();
-    while (open_count_ > 0 && std::chrono::steady_clock::now() < end) {
+    // Callers that still come are served, each on a connection that closes after its answer, until
+    // a moment comes without any; then the last connections are waited for.
+    const auto last_accept = asked + settings_.deployment.grace / 2;
+    do {
+        front_->close_idle();
         std::this_thread::sleep_for(drain_poll);
-    }
-    std::this_thread::sleep_for(drain_poll);
+    } while (front_->connections() > 0 && std::chrono::steady_clock::now() < last_accept);
     front_->stop_accepting();
-    while (open_count_ > 0 && std::chrono::steady_clock::now() < end) {
+    do {
+        front_->close_idle();
         std::this_thread::sleep_for(drain_poll);
-    }
+    } while (front_->connections() > 0 && std::chrono::steady_clock::now() < end);
     asio::post(context_, [this] {
         link_->stop();
         directory_->stop();
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -138,8 +138,12 @@
     const duration allowed = request.route->timeout;
     const duration asked = request.caller.time_left.value_or(request.route->timeout);
     work.deadline = work.arrival + std::min(allowed, asked);
+    if (request.route->latency_objective.count() > 0) {
+        work.objective = work.arrival + request.route->latency_objective;
+    }
     work.prompt = request.caller.prompt;
     work.max_output = request.caller.max_output;
+    work.expected_output = request.caller.expected_output;
     work.blocks = blocks_of(request.caller.parts);
     work.idempotent = config::is_idempotent(*request.route);
     if (const auto* service = request.catalogue->find_service(request.service)) {
@@ -529,6 +533,8 @@
             .add("total_ms", millis(ended - request.work.arrival))
             .add("allowed_ms", millis(request.work.deadline - request.work.arrival))
             .add("prompt_tokens", request.work.prompt.value)
+            .add("max_output", request.work.max_output.value)
+            .add("expected_output", request.work.expected_output.value)
             .add("events", request.events)
             .add("bytes", static_cast<std::int64_t>(request.bytes_out))
             .add("revision",
--- a/src/routing/server_model.cpp
+++ b/src/routing/server_model.cpp
@@ -28,7 +28,8 @@
     }
     window_options limits{.initial = static_cast<double>(std::max(1U, description.slots))};
     if (description.slots_are_exact) {
-        // More would wait inside the server, which knows no tiers.
+        // More would wait inside the server, which knows no tiers; fewer would leave slots empty.
+        limits.min = limits.initial;
         limits.max = limits.initial;
     }
     model.in_flight_window = make_window(limits);
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -1,6 +1,7 @@
 #include "tarragonspar/wire/codec.hpp"
 
 #include <cstring>
+#include <limits>
 
 #include <capnp/message.h>
 #include <capnp/serialize.h>
@@ -11,6 +12,13 @@
 
 namespace {
 
+/// Stands for a request without a latency objective.
+constexpr std::int64_t no_objective = std::numeric_limits<std::int64_t>::min();
+
+} // namespace
+
+namespace {
+
 std::string text_of(capnp::Text::Reader in) {
     return {in.begin(), in.size()};
 }
@@ -109,6 +117,9 @@
         avoid.set(i, value.avoid[i].value);
     }
     out.setQuotaUnits(value.quota_units);
+    out.setExpectedOutput(value.expected_output.value);
+    out.setObjectiveUs(value.objective == time_point{} ? no_objective
+                                                       : (value.objective - now).count());
     auto blocks = out.initBlocks(static_cast<unsigned>(value.blocks.size()));
     for (unsigned i = 0; i < blocks.size(); ++i) {
         blocks.set(i, value.blocks[i].value);
@@ -132,6 +143,10 @@
         value.avoid.push_back({id});
     }
     value.quota_units = in.getQuotaUnits();
+    value.expected_output = {in.getExpectedOutput()};
+    if (in.getObjectiveUs() != no_objective) {
+        value.objective = now + duration{in.getObjectiveUs()};
+    }
     for (const auto block : in.getBlocks()) {
         value.blocks.push_back({block});
     }
