--- a/include/tarragonspar/admission/quota.hpp
+++ b/include/tarragonspar/admission/quota.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <unordered_map>
 
 #include "tarragonspar/types/ids.hpp"
@@ -49,6 +50,30 @@
 [[nodiscard]] duration take(quota_table& target, workspace_id workspace, std::uint32_t units,
                             time_point now);
 
+/// @brief Sets what is left in each bucket from what was used lately, wherever it was granted.
+///
+/// Answers the loss of the instance that counted: the next one goes on from what is known.
+/// @param used    units used in the past `window`; workspaces left out used none
+void resume(quota_table& target, const std::unordered_map<workspace_id, double>& used,
+            duration window, time_point now);
+
+/// @brief Units that requests used in the past window.
+class usage_window {
+public:
+    explicit usage_window(duration window) : window_(window) {}
+    void add(workspace_id workspace, std::uint32_t units, time_point now);
+    [[nodiscard]] std::unordered_map<workspace_id, double> used(time_point now);
+
+private:
+    struct use {
+        time_point at;
+        workspace_id workspace;
+        std::uint32_t units{};
+    };
+    duration window_;
+    std::deque<use> uses_;
+};
+
 /// @brief Gives units back for a request that was not run.
 void give_back(quota_table& target, workspace_id workspace, std::uint32_t units);
 
--- a/include/tarragonspar/control/state.hpp
+++ b/include/tarragonspar/control/state.hpp
@@ -11,8 +11,8 @@
 namespace tarragonspar::control {
 
 /// What an entry of the replicated log asks for.
-using command = std::variant<config::change, idempotency::claim, idempotency::settlement,
-                             config::document>;
+using command =
+    std::variant<config::change, idempotency::claim, idempotency::settlement, config::document>;
 
 /// What the proposer of a command is told.
 using reply = std::variant<std::monostate, config::change_answer, idempotency::claim_answer,
--- a/include/tarragonspar/dispatch/grant_desk.hpp
+++ b/include/tarragonspar/dispatch/grant_desk.hpp
@@ -59,7 +59,8 @@
     instance_id holder;
     incarnation started_as;
     std::vector<held_request> running;
-    std::vector<std::uint64_t> waiting; ///< sequence numbers
+    std::vector<std::uint64_t> waiting;            ///< sequence numbers
+    std::unordered_map<workspace_id, double> used; ///< quota units of the past window
 };
 
 /// @brief Options of a scheduler that has all servers of a service, and no peers.
@@ -75,6 +76,7 @@
     struct holder_state {
         incarnation started_as;
         time_point heard{};
+        std::unordered_map<workspace_id, double> used;
         std::map<std::uint64_t, time_point> missing; ///< granted, but not reported since then
     };
     scheduler decisions{.options = desk_options()};
@@ -98,6 +100,10 @@
 void reconcile(grant_desk& target, const holder_report& report, time_point now,
                std::vector<decision>& out);
 
+/// @brief Goes on counting quotas from what all holders say that they used.
+/// @param window  time that the holders' figures cover
+void resume_quotas(grant_desk& target, duration window, time_point now);
+
 /// @brief Time has passed: looks for deadlines that can't be met and holders that went silent.
 void tick(grant_desk& target, time_point now, std::vector<decision>& out);
 
--- a/include/tarragonspar/gateway/control_instance.hpp
+++ b/include/tarragonspar/gateway/control_instance.hpp
@@ -49,6 +49,7 @@
     void on_servers(std::vector<config::server> servers);
     void answer_report(const std::string& payload, const std::function<void(wire::answer)>& reply);
     void answer_grant(const std::string& payload, std::function<void(wire::answer)> reply);
+    void begin_if_due();
     [[nodiscard]] bool schedules() const;
     boost::asio::awaitable<void> handle(http::exchange& with);
     boost::asio::awaitable<void> publish(http::exchange& with, std::string content);
@@ -69,6 +70,7 @@
     // Below: used on the context's thread only.
     runtime::control_service::group_view group_;
     time_point leads_since_{};
+    bool schedules_{false}; ///< leads, knows the servers, and has heard what runs
     config::document newest_;
     std::vector<config::server> servers_;
     std::uint64_t servers_mark_{};
--- a/include/tarragonspar/gateway/control_link.hpp
+++ b/include/tarragonspar/gateway/control_link.hpp
@@ -24,6 +24,8 @@
 public:
     struct hooks {
         std::function<dispatch::holder_report()> open_requests;
+        /// Quota units that this instance's requests used in the past window.
+        std::function<std::unordered_map<workspace_id, double>()> used;
         std::function<void(const config::document&)> on_document;
         std::function<void(std::uint32_t entry_instances)> on_size;
         /// Whether this instance should read the list of servers itself.
@@ -31,8 +33,7 @@
     };
 
     control_link(boost::asio::io_context& context, instance_id self, wire::node& node,
-                 std::vector<instance_id> contacts, const admission::quota_tolerance& tolerance,
-                 hooks uses);
+                 std::vector<instance_id> contacts, duration quota_window, hooks uses);
 
     void start();
     void stop();
@@ -82,7 +83,7 @@
     boost::asio::io_context& context_;
     instance_id self_;
     wire::node& node_;
-    admission::quota_tolerance tolerance_;
+    duration quota_window_;
     hooks uses_;
     boost::asio::steady_timer timer_;
     std::vector<instance_id> contacts_;
--- a/include/tarragonspar/gateway/desk_service.hpp
+++ b/include/tarragonspar/gateway/desk_service.hpp
@@ -27,6 +27,9 @@
                     double share);
     void ask(const work_item& work, dispatch::earlier_grant earlier, reply answer);
     void note(const dispatch::grant_news& news);
+    void resume_quotas(duration window);
+    /// @brief Goes on counting quotas from this instance's own use.
+    void resume_quotas(const std::unordered_map<workspace_id, double>& used, duration window);
     void reconcile(const dispatch::holder_report& report);
 
     /// @brief Gives up everything that waits, without verdicts.
--- a/include/tarragonspar/gateway/dialect.hpp
+++ b/include/tarragonspar/gateway/dialect.hpp
@@ -31,8 +31,8 @@
     token_count expected_output; ///< the caller's estimate; 0: none
     std::vector<prompt_part> parts;
     std::optional<std::uint64_t> resume_after; ///< last event that the caller has
-    http::header_list passed_on; ///< headers for the server, as they came
-    std::string fault;           ///< not empty: why the request is malformed
+    http::header_list passed_on;               ///< headers for the server, as they came
+    std::string fault;                         ///< not empty: why the request is malformed
 };
 
 /// @brief What the system itself says in a request to a backend server.
--- a/include/tarragonspar/gateway/entry_instance.hpp
+++ b/include/tarragonspar/gateway/entry_instance.hpp
@@ -55,7 +55,7 @@
     void make_link();
     void on_document(const config::document& newest);
     [[nodiscard]] bool is_ready() const;
-    [[nodiscard]] dispatch::holder_report open_requests() const;
+    [[nodiscard]] dispatch::holder_report open_requests();
 
     boost::asio::awaitable<void> handle(http::exchange& with);
     boost::asio::awaitable<void> handle_readiness(http::exchange& with);
@@ -99,6 +99,7 @@
     std::unordered_map<std::uint64_t, request_ptr> open_;
     std::uint64_t next_sequence_{0};
     admission::retry_allowance repeats_;
+    admission::usage_window used_;
     std::mt19937_64 random_;
 };
 
--- a/include/tarragonspar/gateway/relayed_request.hpp
+++ b/include/tarragonspar/gateway/relayed_request.hpp
@@ -47,11 +47,11 @@
     std::shared_ptr<http::backend_call> call;
     std::optional<dispatch::grant> running_at;
 
-    std::uint32_t attempts{0};     ///< servers that the request was sent to
-    std::uint32_t unreachable{0};  ///< servers that took no connection
-    bool may_have_run{false};      ///< some server was sent the request and did not decline it
-    bool again{false};             ///< another attempt was allowed already
-    bool begun{false};             ///< the caller has the head of its answer
+    std::uint32_t attempts{0};    ///< servers that the request was sent to
+    std::uint32_t unreachable{0}; ///< servers that took no connection
+    bool may_have_run{false};     ///< some server was sent the request and did not decline it
+    bool again{false};            ///< another attempt was allowed already
+    bool begun{false};            ///< the caller has the head of its answer
     std::optional<std::uint64_t> last_event;
     std::uint32_t events{0};
     std::uint64_t bytes_out{0};
--- a/include/tarragonspar/routing/estimates.hpp
+++ b/include/tarragonspar/routing/estimates.hpp
@@ -55,8 +55,11 @@
 /// Holds a bounded number of histograms; the least recently used one is dropped.
 class length_estimator {
 public:
+    static constexpr std::size_t default_capacity = 16384;
+
     /// @param capacity  histograms kept, about 160 bytes each
-    explicit length_estimator(std::size_t capacity = 16384) : capacity_(capacity) {}
+    explicit length_estimator(std::size_t capacity) : capacity_(capacity) {}
+    length_estimator() : length_estimator(default_capacity) {}
 
     /// @brief Learns the length of a finished answer.
     void observe(std::uint64_t profile, workspace_id workspace, token_count length);
--- a/include/tarragonspar/runtime/control_service.hpp
+++ b/include/tarragonspar/runtime/control_service.hpp
@@ -28,10 +28,10 @@
     std::vector<instance_id> replicas; ///< other instances with a control replica
     /// Replicas are not all known beforehand: they ask to join, and absent ones are replaced.
     bool open_group{false};
-    bool may_found{false}; ///< open groups: a new disk here belongs to the first group
-    config::configuration first;       ///< accepted as revision 1 when the group is formed
+    bool may_found{false};       ///< open groups: a new disk here belongs to the first group
+    config::configuration first; ///< accepted as revision 1 when the group is formed
     consensus::replica_options consensus;
-    std::size_t compact_after{512}; ///< applied entries between two snapshots
+    std::size_t compact_after{512};               ///< applied entries between two snapshots
     std::uint64_t compact_bytes{8 * 1024 * 1024}; ///< log size that brings on a snapshot
 };
 
--- a/include/tarragonspar/settings/instance_settings.hpp
+++ b/include/tarragonspar/settings/instance_settings.hpp
@@ -72,17 +72,18 @@
 
 /// @brief What an instance on such a platform is told about its surroundings.
 struct deployment_settings {
-    endpoint readiness;               ///< entry: where readiness is asked for
-    endpoint metrics;                 ///< port 0: not served
+    endpoint readiness;                ///< entry: where readiness is asked for
+    endpoint metrics;                  ///< port 0: not served
     std::vector<std::string> founders; ///< IPs of the first control instances, or of some of them
-    bool first_start{false};          ///< the deployment starts for the first time, with no state
-    endpoint server_list;             ///< where the platform lists backend servers
+    bool first_start{false};           ///< the deployment starts for the first time, with no state
+    endpoint server_list;              ///< where the platform lists backend servers
     std::chrono::milliseconds grace{8'000}; ///< between SIGTERM and the end by force
     double retry_ratio{0.2};                ///< repeats that a service's requests allow
     double retry_slack{0.0};                ///< repeats allowed beyond, over all instances
     std::chrono::milliseconds retry_window{10'000};
     double quota_overage{0.0}; ///< part by which workspaces may exceed their quota
     double quota_slack{0.0};   ///< units by which they may exceed it besides
+    std::chrono::milliseconds quota_window{8'000}; ///< span over which quotas are counted
 };
 
 /// @brief Settings of one `tarragond`.
@@ -106,8 +107,8 @@
     std::string configuration_file;      ///< beside the settings file; in place of `configuration`
     config::configuration configuration; ///< used until a newer one is known
     instance_role role{instance_role::whole};
-    deployment_settings deployment;      ///< roles other than `whole`
-    bool test_hooks{false};              ///< allows tests to cut this instance off from others
+    deployment_settings deployment; ///< roles other than `whole`
+    bool test_hooks{false};         ///< allows tests to cut this instance off from others
 };
 
 /// @brief Settings that were read, and what was wrong with them.
--- a/include/tarragonspar/wire/messages.hpp
+++ b/include/tarragonspar/wire/messages.hpp
@@ -19,12 +19,12 @@
 
 /// Kinds of questions that only some instances can answer.
 enum class topic : std::uint8_t {
-    configuration, ///< the configuration after a revision
-    change,        ///< a change request, for the control leader
-    key,           ///< a request under a caller's own key, for the key's holder
-    key_record,    ///< a key record to be kept as a backup
-    lease,         ///< a renewal of leases, for the control leader
-    request,       ///< state of a request
+    configuration,  ///< the configuration after a revision
+    change,         ///< a change request, for the control leader
+    key,            ///< a request under a caller's own key, for the key's holder
+    key_record,     ///< a key record to be kept as a backup
+    lease,          ///< a renewal of leases, for the control leader
+    request,        ///< state of a request
     control_status, ///< state of the control group
     published,      ///< the newest published document, proved to be the newest
     entry_report,   ///< an entry instance's state, for news of the control group and servers
--- a/src/dispatch/grant_desk.cpp
+++ b/src/dispatch/grant_desk.cpp
@@ -24,8 +24,8 @@
                                          .server_name = server.name,
                                          .address = server.address}});
         } else if (const auto* no = std::get_if<refuse>(&item)) {
-            out.push_back({.id = no->id,
-                           .what = refusal{.why = no->why, .retry_after = no->retry_after}});
+            out.push_back(
+                {.id = no->id, .what = refusal{.why = no->why, .retry_after = no->retry_after}});
         }
     }
 }
@@ -106,8 +106,8 @@
     } else if (const auto wait =
                    admission::take(target.quotas, work.workspace, work.quota_units, now);
                wait > duration{}) {
-        out.push_back({.id = work.id,
-                       .what = refusal{.why = reason::workspace_limit, .retry_after = wait}});
+        out.push_back(
+            {.id = work.id, .what = refusal{.why = reason::workspace_limit, .retry_after = wait}});
         return;
     }
     std::vector<decision> made;
@@ -133,8 +133,8 @@
         send(target, ended{.id = news.id, .whole = true, .generated = news.generated}, now, out);
         return;
     case grant_news::what::failed:
-        send(target,
-             ended{.id = news.id, .whole = false, .server_fault = news.server_fault}, now, out);
+        send(target, ended{.id = news.id, .whole = false, .server_fault = news.server_fault}, now,
+             out);
         return;
     }
 }
@@ -145,6 +145,7 @@
     const auto restarted = holder.started_as != report.started_as;
     holder.started_as = report.started_as;
     holder.heard = now;
+    holder.used = report.used;
     std::set<std::uint64_t> open(report.waiting.begin(), report.waiting.end());
     for (const auto& item : report.running) {
         open.insert(item.work.id.sequence);
@@ -178,6 +179,16 @@
     }
 }
 
+void resume_quotas(grant_desk& target, duration window, time_point now) {
+    std::unordered_map<workspace_id, double> used;
+    for (const auto& [id, holder] : target.holders) {
+        for (const auto& [workspace, units] : holder.used) {
+            used[workspace] += units;
+        }
+    }
+    admission::resume(target.quotas, used, window, now);
+}
+
 void tick(grant_desk& target, time_point now, std::vector<decision>& out) {
     std::set<instance_id> silent;
     for (const auto& [id, holder] : target.holders) {
@@ -189,16 +200,16 @@
         forget(target,
                pick(target, [&](const request_id& id, bool) { return silent.contains(id.issuer); }),
                now, out);
-        std::erase_if(target.holders, [&](const auto& item) { return silent.contains(item.first); });
+        std::erase_if(target.holders,
+                      [&](const auto& item) { return silent.contains(item.first); });
     }
     send(target, ticked{}, now, out);
 }
 
 std::uint32_t holder_count(const grant_desk& source, time_point now) {
     return static_cast<std::uint32_t>(
-        std::count_if(source.holders.begin(), source.holders.end(), [&](const auto& item) {
-            return now - item.second.heard <= silent_holder;
-        }));
+        std::count_if(source.holders.begin(), source.holders.end(),
+                      [&](const auto& item) { return now - item.second.heard <= silent_holder; }));
 }
 
 } // namespace tarragonspar::dispatch
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -166,9 +166,9 @@
                           duration left, time_point now) {
     return std::any_of(source.servers.begin(), source.servers.end(), [&](const auto& entry) {
         const auto& server = entry.second;
-        return server.state == config::server_state::active && routing::offers(server, work.model) &&
-               routing::allows(server.breaker, now) && routing::is_learned(server) &&
-               routing::predict(server, work, output).finish <= left;
+        return server.state == config::server_state::active &&
+               routing::offers(server, work.model) && routing::allows(server.breaker, now) &&
+               routing::is_learned(server) && routing::predict(server, work, output).finish <= left;
     });
 }
 
@@ -340,8 +340,8 @@
         }
     }
     for (auto& [id, server] : target.servers) {
-        server.keep_in_use = std::any_of(
-            server.offers.begin(), server.offers.end(), [&](model_id model) {
+        server.keep_in_use =
+            std::any_of(server.offers.begin(), server.offers.end(), [&](model_id model) {
                 const auto& count = by_model[model];
                 return count.open * 2 >= count.all && count.open > 0;
             });
--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -136,6 +136,7 @@
 void control_instance::on_group(runtime::control_service::group_view group) {
     const auto led = group_.leads;
     group_ = std::move(group);
+    schedules_ = schedules_ && group_.leads;
     if (group_.leads && !led) {
         leads_since_ = now();
         servers_.clear();
@@ -159,8 +160,20 @@
     desk_->set_servers(servers_);
 }
 
+void control_instance::begin_if_due() {
+    const auto due = group_.leads && servers_mark_ != 0 && now() - leads_since_ > takeover_pause;
+    if (schedules_ || !due) {
+        return;
+    }
+    schedules_ = true;
+    desk_->resume_quotas(settings_.deployment.quota_window);
+    telemetry::write(telemetry::log_line("schedules")
+                         .add("entry_instances", static_cast<std::int64_t>(desk_->holders()))
+                         .add("servers", static_cast<std::int64_t>(servers_.size())));
+}
+
 bool control_instance::schedules() const {
-    return group_.leads && !leaving_ && servers_mark_ != 0 && now() - leads_since_ > takeover_pause;
+    return schedules_ && !leaving_;
 }
 
 // --- questions of other instances ---
@@ -174,6 +187,7 @@
     }
     if (group_.leads) {
         desk_->reconcile(report->open);
+        begin_if_due();
     }
     control_news news;
     news.schedules = schedules();
@@ -286,7 +300,8 @@
     std::function<void(std::function<void(bool)>)> start = [&](std::function<void(bool)> done) {
         control_->publish(std::move(document), std::move(done));
     };
-    const bool taken = co_await await_bounded<bool>(context_, publish_limit, false, std::move(start));
+    const bool taken =
+        co_await await_bounded<bool>(context_, publish_limit, false, std::move(start));
     telemetry::write(telemetry::log_line("document_published")
                          .add("number", static_cast<std::int64_t>(number.value))
                          .add("acknowledged", taken ? 1 : 0));
@@ -296,8 +311,9 @@
 
 asio::awaitable<void> control_instance::read_newest(http::exchange& with) {
     using result = std::optional<config::document>;
-    std::function<void(std::function<void(result)>)> start =
-        [&](std::function<void(result)> done) { control_->read_published(std::move(done)); };
+    std::function<void(std::function<void(result)>)> start = [&](std::function<void(result)> done) {
+        control_->read_published(std::move(done));
+    };
     const auto newest =
         co_await await_bounded<result>(context_, read_limit, std::nullopt, std::move(start));
     const auto known = newest && newest->number.value > 0;
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -22,16 +22,18 @@
 constexpr auto search_interval = std::chrono::milliseconds{100};
 /// Silence of the leader after which grants are given here.
 constexpr duration leader_silence = std::chrono::milliseconds{800};
+/// Part of an equal share of each quota that is granted here without a scheduler: what the others
+/// grant meanwhile is not known.
+constexpr double own_quota_share = 0.5;
 /// Age of the list of servers from which on it is read here.
 constexpr duration list_silence = std::chrono::milliseconds{1'500};
 
 } // namespace
 
 control_link::control_link(asio::io_context& context, instance_id self, wire::node& node,
-                           std::vector<instance_id> contacts,
-                           const admission::quota_tolerance& tolerance, hooks uses)
-    : context_(context), self_(self), node_(node), tolerance_(tolerance), uses_(std::move(uses)), timer_(context),
-      contacts_(std::move(contacts)), list_heard_(now()),
+                           std::vector<instance_id> contacts, duration quota_window, hooks uses)
+    : context_(context), self_(self), node_(node), quota_window_(quota_window),
+      uses_(std::move(uses)), timer_(context), contacts_(std::move(contacts)), list_heard_(now()),
       own_desk_(std::make_shared<desk_service>(context)) {
     next_contact_ = contacts_.empty() ? 0 : self_.value % contacts_.size();
 }
@@ -81,9 +83,8 @@
     if (!target_) {
         return;
     }
-    const entry_report what{.open = uses_.open_requests(),
-                            .document = document_,
-                            .servers_mark = servers_mark_};
+    const entry_report what{
+        .open = uses_.open_requests(), .document = document_, .servers_mark = servers_mark_};
     node_.ask(*target_, wire::topic::entry_report, pack(what, now()),
               [self = shared_from_this(), from = *target_](std::optional<wire::answer> answer) {
                   asio::post(self->context_, [self, from, answer = std::move(answer)] {
@@ -102,8 +103,7 @@
         return;
     }
     add_contacts(news->members);
-    if (news->schedules && news->entry_instances != entry_instances_ &&
-        news->entry_instances > 0) {
+    if (news->schedules && news->entry_instances != entry_instances_ && news->entry_instances > 0) {
         entry_instances_ = news->entry_instances;
         uses_.on_size(entry_instances_);
         share_servers();
@@ -143,6 +143,7 @@
             .add("entry_instances", static_cast<std::int64_t>(entry_instances_)));
     if (!scheduler) {
         choose_target(std::nullopt);
+        own_desk_->resume_quotas(uses_.used(), quota_window_);
     }
     // With a scheduler, what waits here waits better in the one queue over all servers; without
     // one, nobody else answers what was asked.
@@ -201,10 +202,8 @@
 
 void control_link::ask_own_desk(const open_question& question) {
     own_desk_->ask(question.work, question.earlier,
-                   [self = shared_from_this(), id = question.work.id,
-                    number = question.asked](const dispatch::verdict& what) {
-                       self->take_verdict(id, number, what);
-                   });
+                   [self = shared_from_this(), id = question.work.id, number = question.asked](
+                       const dispatch::verdict& what) { self->take_verdict(id, number, what); });
 }
 
 void control_link::take_verdict(const request_id& id, std::uint64_t asked,
@@ -234,7 +233,7 @@
 void control_link::set_document(config::document_number in_force,
                                 const config::catalogue& content) {
     document_ = in_force;
-    own_desk_->set_quotas(content, tolerance_, 1.0 / std::max(1U, entry_instances_));
+    own_desk_->set_quotas(content, {}, own_quota_share / std::max(1U, entry_instances_));
 }
 
 void control_link::set_servers(std::vector<config::server> servers) {
--- a/src/gateway/desk_service.cpp
+++ b/src/gateway/desk_service.cpp
@@ -28,9 +28,9 @@
     std::unordered_map<workspace_id, admission::quota_limit> limits;
     for (const auto& item : from.workspaces) {
         if (item.quota.units_per_second > 0.0) {
-            auto limit = admission::stretch({.units_per_second = item.quota.units_per_second,
-                                             .burst = item.quota.burst},
-                                            tolerance);
+            auto limit = admission::stretch(
+                {.units_per_second = item.quota.units_per_second, .burst = item.quota.burst},
+                tolerance);
             limit.units_per_second *= share;
             limit.burst *= share;
             limits.emplace(workspace_id{hash_name(item.name)}, limit);
@@ -59,6 +59,15 @@
     carry_out(made);
 }
 
+void desk_service::resume_quotas(duration window) {
+    dispatch::resume_quotas(desk_, window, now());
+}
+
+void desk_service::resume_quotas(const std::unordered_map<workspace_id, double>& used,
+                                 duration window) {
+    admission::resume(desk_.quotas, used, window, now());
+}
+
 void desk_service::reconcile(const dispatch::holder_report& report) {
     std::vector<dispatch::decision> made;
     dispatch::reconcile(desk_, report, now(), made);
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -28,9 +28,7 @@
 }
 
 admission::retry_limits make_retry_limits(const settings::deployment_settings& from) {
-    return {.ratio = from.retry_ratio,
-            .slack = from.retry_slack,
-            .window = from.retry_window};
+    return {.ratio = from.retry_ratio, .slack = from.retry_slack, .window = from.retry_window};
 }
 
 } // namespace
@@ -39,7 +37,7 @@
                                std::unique_ptr<const dialect> speaks)
     : settings_(std::move(settings)), speaks_(std::move(speaks)), started_as_(make_incarnation()),
       context_(1), keep_running_(asio::make_work_guard(context_)),
-      random_(std::random_device{}()) {
+      used_(settings_.deployment.quota_window), random_(std::random_device{}()) {
     node_ = std::make_unique<wire::node>(make_node_options(settings_),
                                          static_cast<wire::handler&>(*this));
     repeats_.limits = make_retry_limits(settings_.deployment);
@@ -66,6 +64,7 @@
 void entry_instance::make_link() {
     control_link::hooks uses;
     uses.open_requests = [this] { return open_requests(); };
+    uses.used = [this] { return used_.used(now()); };
     uses.on_document = [this](const config::document& newest) { on_document(newest); };
     uses.on_size = [this](std::uint32_t entry_instances) {
         repeats_.limits.instances = entry_instances;
@@ -75,7 +74,7 @@
     };
     uses.on_list_wanted = [this](bool wanted) { directory_->set_wanted(wanted && !leaving_); };
     link_ = std::make_shared<control_link>(context_, settings_.id, *node_, founders_of(settings_),
-                                           tolerance_of(settings_), std::move(uses));
+                                           settings_.deployment.quota_window, std::move(uses));
 }
 
 std::string entry_instance::start() {
@@ -168,8 +167,9 @@
     return !leaving_ && catalogue_ && link_->has_servers();
 }
 
-dispatch::holder_report entry_instance::open_requests() const {
+dispatch::holder_report entry_instance::open_requests() {
     dispatch::holder_report report{.holder = settings_.id, .started_as = started_as_};
+    report.used = used_.used(now());
     for (const auto& [sequence, request] : open_) {
         if (request->running_at) {
             report.running.push_back(
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -129,8 +129,7 @@
 
 void entry_instance::fill_work(relayed_request& request) {
     auto& work = request.work;
-    work.id = {
-        .issuer = settings_.id, .issued_in = started_as_, .sequence = ++next_sequence_};
+    work.id = {.issuer = settings_.id, .issued_in = started_as_, .sequence = ++next_sequence_};
     work.urgency = {std::min<std::uint8_t>(work.urgency.value, tier_count - 1)};
     work.model = {hash_name(request.service)};
     work.profile = hash_name(request.route->name);
@@ -275,10 +274,12 @@
     terms.time_left = std::chrono::duration_cast<std::chrono::milliseconds>(left);
     terms.server_name = at.server_name;
     terms.workspace = request->workspace;
-    terms.resume_after =
-        request->last_event ? request->last_event : request->caller.resume_after;
+    terms.resume_after = request->last_event ? request->last_event : request->caller.resume_after;
     auto headers = speaks_->server_headers(request->caller, terms);
     ++request->attempts;
+    if (request->attempts == 1) {
+        used_.add(request->work.workspace, request->work.quota_units, now());
+    }
     const auto ran_before = request->may_have_run;
     request->may_have_run = true;
     metrics_.count_dispatch(request->work.urgency);
@@ -392,9 +393,10 @@
     co_return attempt_end::done;
 }
 
-asio::awaitable<bool> entry_instance::forward_events(request_ptr request, http::exchange& with,
-                                                     const http::answer_head& head,
-                                                     const std::vector<http::stream_event>& events) {
+asio::awaitable<bool>
+entry_instance::forward_events(request_ptr request, http::exchange& with,
+                               const http::answer_head& head,
+                               const std::vector<http::stream_event>& events) {
     if (request->first_event == time_point{}) {
         request->first_event = now();
         const dispatch::grant_news news{.id = request->work.id,
@@ -480,9 +482,10 @@
         out = make_refusal(status, std::string(to_string(refused->why)), refused->retry_after,
                            random_);
     } else {
-        out = make_refusal(status_unavailable, request->timed_out ? "no server was free in time"
-                                                                  : "the servers are full",
-                           {}, random_);
+        out =
+            make_refusal(status_unavailable,
+                         request->timed_out ? "no server was free in time" : "the servers are full",
+                         {}, random_);
     }
     request->status = out.status;
     co_await with.respond(std::move(out));
@@ -500,7 +503,7 @@
     summary.workspace = request.workspace;
     summary.kind = request.caller.parts.empty() ? "service" : "engine";
     const auto served = request.status >= status_ok && request.status < 300;
-    summary.result = served                    ? outcome::answered
+    summary.result = served                 ? outcome::answered
                      : request.may_have_run ? outcome::unknown
                                             : outcome::not_executed;
     summary.why = refused != nullptr ? refused->why : reason::none;
@@ -521,10 +524,10 @@
             .add("workspace", request.workspace.empty() ? "none" : request.workspace)
             .add("tier", request.work.urgency.value)
             .add("status", request.status)
-            .add("why", refused != nullptr    ? to_string(refused->why)
-                        : request.gone        ? "caller_gone"
-                        : request.timed_out   ? "timed_out"
-                                              : "none")
+            .add("why", refused != nullptr  ? to_string(refused->why)
+                        : request.gone      ? "caller_gone"
+                        : request.timed_out ? "timed_out"
+                                            : "none")
             .add("server", request.running_at ? request.running_at->server_name : "none")
             .add("attempts", request.attempts)
             .add("unreachable", request.unreachable)
@@ -537,8 +540,7 @@
             .add("expected_output", request.work.expected_output.value)
             .add("events", request.events)
             .add("bytes", static_cast<std::int64_t>(request.bytes_out))
-            .add("revision",
-                 static_cast<std::int64_t>(request.catalogue->value().number.value)));
+            .add("revision", static_cast<std::int64_t>(request.catalogue->value().number.value)));
 }
 
 } // namespace tarragonspar::gateway
--- a/src/gateway/reports.cpp
+++ b/src/gateway/reports.cpp
@@ -45,13 +45,17 @@
 std::string pack(const entry_report& value, time_point) {
     auto running = json::array();
     for (const auto& item : value.open.running) {
-        running.push_back(json::array({item.work.id.sequence, item.server.value,
-                                       item.work.urgency.value, item.work.workspace.value,
-                                       item.work.model.value}));
+        running.push_back(
+            json::array({item.work.id.sequence, item.server.value, item.work.urgency.value,
+                         item.work.workspace.value, item.work.model.value}));
+    }
+    auto used = json::array();
+    for (const auto& [workspace, units] : value.open.used) {
+        used.push_back(json::array({workspace.value, units}));
     }
     return cbor::encode(json::array({value.open.holder.value, value.open.started_as.value,
                                      std::move(running), value.open.waiting, value.document.value,
-                                     value.servers_mark}));
+                                     value.servers_mark, std::move(used)}));
 }
 
 std::optional<entry_report> unpack_report(const std::string& bytes, time_point) {
@@ -73,6 +77,10 @@
         value.open.waiting = in.at(3).get<std::vector<std::uint64_t>>();
         value.document = {in.at(4).get<std::uint64_t>()};
         value.servers_mark = in.at(5).get<std::uint64_t>();
+        for (const auto& item : in.at(6)) {
+            value.open.used.emplace(workspace_id{item.at(0).get<std::uint64_t>()},
+                                    item.at(1).get<double>());
+        }
         return value;
     });
 }
@@ -80,8 +88,8 @@
 std::string pack(const control_news& value) {
     return cbor::encode(json::array(
         {value.schedules, value.leader ? json(value.leader->value) : json(), ids(value.members),
-         value.entry_instances, value.document ? json(*value.document) : json(),
-         value.servers_mark, value.servers ? json(*value.servers) : json()}));
+         value.entry_instances, value.document ? json(*value.document) : json(), value.servers_mark,
+         value.servers ? json(*value.servers) : json()}));
 }
 
 std::optional<control_news> unpack_news(const std::string& bytes) {
@@ -107,8 +115,8 @@
 }
 
 std::string pack(const grant_question& value, time_point now) {
-    return cbor::encode(json::array({static_cast<std::uint8_t>(value.earlier),
-                                     cbor::binary(wire::pack(value.work, now))}));
+    return cbor::encode(json::array(
+        {static_cast<std::uint8_t>(value.earlier), cbor::binary(wire::pack(value.work, now))}));
 }
 
 std::optional<grant_question> unpack_question(const std::string& bytes, time_point now) {
@@ -116,8 +124,7 @@
         const auto work = wire::unpack_work(cbor::bytes_of(in.at(1)), now);
         const auto earlier = in.at(0).get<std::uint8_t>();
         return work ? std::optional{grant_question{
-                          .work = *work,
-                          .earlier = static_cast<dispatch::earlier_grant>(earlier)}}
+                          .work = *work, .earlier = static_cast<dispatch::earlier_grant>(earlier)}}
                     : std::nullopt;
     });
     return read ? *read : std::nullopt;
--- a/src/http/backend_call.cpp
+++ b/src/http/backend_call.cpp
@@ -46,9 +46,11 @@
 } // namespace
 
 bool is_hop_header(std::string_view name) noexcept {
-    constexpr std::array<std::string_view, 10> names{
-        "connection", "keep-alive", "proxy-connection",  "te",     "trailer",
-        "upgrade",    "expect",     "transfer-encoding", "content-length", "proxy-authorization"};
+    constexpr std::array<std::string_view, 10> names{"connection",       "keep-alive",
+                                                     "proxy-connection", "te",
+                                                     "trailer",          "upgrade",
+                                                     "expect",           "transfer-encoding",
+                                                     "content-length",   "proxy-authorization"};
     return std::any_of(names.begin(), names.end(), [&](std::string_view hop) {
         return beast::iequals(hop, beast::string_view(name.data(), name.size()));
     });
--- a/src/routing/server_model.cpp
+++ b/src/routing/server_model.cpp
@@ -41,8 +41,8 @@
     // Requests beside it slow a request down; among equal servers the emptier one wins.
     const auto beside = server.in_flight / std::max(1.0, server.in_flight_window.size);
     if (server.kind == config::server_kind::service) {
-        const auto seconds = server.speed.fixed_seconds +
-                             server.speed.decode_seconds_per_token * (1.0 + beside);
+        const auto seconds =
+            server.speed.fixed_seconds + server.speed.decode_seconds_per_token * (1.0 + beside);
         result.first_token = from_seconds(seconds);
         result.finish = result.first_token;
         return result;
--- a/src/runtime/control_group.cpp
+++ b/src/runtime/control_group.cpp
@@ -177,8 +177,7 @@
     done(applied ? std::optional{state_.published} : std::nullopt);
 }
 
-void control_service::read_published(
-    std::function<void(std::optional<config::document>)> done) {
+void control_service::read_published(std::function<void(std::optional<config::document>)> done) {
     asio::post(pool_, [self = shared_from_this(), done = std::move(done)] {
         const auto leader = self->replica_ && self->replica_->leader
                                 ? std::optional{consensus::instance_of(*self->replica_->leader)}
@@ -187,16 +186,15 @@
             self->read_here(done);
             return;
         }
-        self->node_.ask(*leader, wire::topic::published, "",
-                        [done](std::optional<wire::answer> answer) {
-                            if (!answer || !answer->known) {
-                                done(std::nullopt);
-                                return;
-                            }
-                            const auto in = json::from_cbor(answer->payload, true, false);
-                            done(in.is_array() ? std::optional{in.get<config::document>()}
-                                               : std::nullopt);
-                        });
+        self->node_.ask(
+            *leader, wire::topic::published, "", [done](std::optional<wire::answer> answer) {
+                if (!answer || !answer->known) {
+                    done(std::nullopt);
+                    return;
+                }
+                const auto in = json::from_cbor(answer->payload, true, false);
+                done(in.is_array() ? std::optional{in.get<config::document>()} : std::nullopt);
+            });
     });
 }
 
--- a/src/runtime/control_service.cpp
+++ b/src/runtime/control_service.cpp
@@ -71,8 +71,8 @@
         // Only the settings tell whether a group exists; asking others would let two groups be
         // founded while they can't reach each other.
         const auto founding = options_.may_found;
-        disk = founding ? std::uint32_t{0}
-                        : static_cast<std::uint32_t>(random_() % 0x7fffffffU) + 1;
+        disk =
+            founding ? std::uint32_t{0} : static_cast<std::uint32_t>(random_() % 0x7fffffffU) + 1;
         fault = load_founders(founding);
         if (fault.empty()) {
             fault = run_on_disk([&] {
@@ -82,8 +82,8 @@
         if (!fault.empty()) {
             return fault;
         }
-        telemetry::write(telemetry::log_line(founding ? "control_founds" : "control_joins")
-                             .add("disk", *disk));
+        telemetry::write(
+            telemetry::log_line(founding ? "control_founds" : "control_joins").add("disk", *disk));
     } else if (disk && options_.open_group) {
         if (fault = load_founders(false); !fault.empty()) {
             return fault;
@@ -255,7 +255,8 @@
     const auto due = replica_->heartbeat_due;
     consensus::step(*replica_, what, now(), random_, effects);
     carry_out(effects);
-    if (replica_ && replica_->heartbeat_due != due && !std::holds_alternative<consensus::ticked>(what)) {
+    if (replica_ && replica_->heartbeat_due != due &&
+        !std::holds_alternative<consensus::ticked>(what)) {
         schedule_tick(); // the next heartbeat moved
     }
 }
--- a/src/settings/instance_settings.cpp
+++ b/src/settings/instance_settings.cpp
@@ -119,10 +119,17 @@
     in.optional("retry_slack", out.retry_slack, "a number of requests");
     in.optional("quota_overage", out.quota_overage, "a share");
     in.optional("quota_slack", out.quota_slack, "a number of units");
+    double quota_window_s = 0.0;
+    in.optional("quota_window_s", quota_window_s, "a number of seconds");
+    if (quota_window_s > 0.0) {
+        out.quota_window =
+            std::chrono::milliseconds{static_cast<std::int64_t>(quota_window_s * 1e3)};
+    }
     double retry_window_s = 0.0;
     in.optional("retry_window_s", retry_window_s, "a number of seconds");
     if (retry_window_s > 0.0) {
-        out.retry_window = std::chrono::milliseconds{static_cast<std::int64_t>(retry_window_s * 1e3)};
+        out.retry_window =
+            std::chrono::milliseconds{static_cast<std::int64_t>(retry_window_s * 1e3)};
     }
 }
 
--- a/src/wire/loop.cpp
+++ b/src/wire/loop.cpp
@@ -286,18 +286,15 @@
 
 kj::Promise<void> node::loop::dropping(kj::Promise<void>&& call, instance_id peer,
                                        outbound_connection& over) {
-    return call.then(
-        [&over]() {
-            over.answered = std::chrono::steady_clock::now();
-        },
-        [this, peer, &over](kj::Exception&& error) {
-            const auto silent = std::chrono::steady_clock::now() - over.answered;
-            const auto gone = error.getType() == kj::Exception::Type::DISCONNECTED;
-            if (gone || silent > options_.stale_connection) {
-                drop(peer, over);
-            }
-            kj::throwRecoverableException(kj::mv(error));
-        });
+    return call.then([&over]() { over.answered = std::chrono::steady_clock::now(); },
+                     [this, peer, &over](kj::Exception&& error) {
+                         const auto silent = std::chrono::steady_clock::now() - over.answered;
+                         const auto gone = error.getType() == kj::Exception::Type::DISCONNECTED;
+                         if (gone || silent > options_.stale_connection) {
+                             drop(peer, over);
+                         }
+                         kj::throwRecoverableException(kj::mv(error));
+                     });
 }
 
 void node::loop::keep_alive(instance_id peer) {
--- a/src/wire/loop_calls.cpp
+++ b/src/wire/loop_calls.cpp
@@ -117,7 +117,8 @@
                                     .payload = {reinterpret_cast<const char*>(payload_in.begin()),
                                                 payload_in.size()}});
                     });
-                const auto waits = about == topic::key || about == topic::request || about == topic::grant;
+                const auto waits =
+                    about == topic::key || about == topic::request || about == topic::grant;
                 const auto limit = waits ? options_.run_timeout : options_.call_timeout;
                 auto& over = *connection;
                 return dropping(bounded(kj::mv(call), limit), peer, over)
