--- a/src/http/framing.cpp
+++ b/src/http/framing.cpp
@@ -12,9 +12,8 @@
     if (request.target().empty() || request.target().front() != '/') {
         return "the target must be a path";
     }
-    if (count(beast_http::field::host) > 1 ||
-        (request.version() >= 11 && count(beast_http::field::host) == 0)) {
-        return "there must be one Host";
+    if (count(beast_http::field::host) > 1) {
+        return "there may be one Host";
     }
     const auto codings = count(beast_http::field::transfer_encoding);
     const auto lengths = count(beast_http::field::content_length);
