--- /dev/null
+++ b/tests/unit-event_splitter.cpp
@@ -0,0 +1,36 @@
+#include <gtest/gtest.h>
+
+#include "tarragonspar/http/event_splitter.hpp"
+
+namespace {
+
+using tarragonspar::http::event_splitter;
+
+} // namespace
+
+TEST(EventSplitter, WholeEventsOnly) {
+    event_splitter splitter;
+    EXPECT_TRUE(splitter.take("id: 1\ndata: a").empty());
+    const auto events = splitter.take("\n\nid: 2\r\ndata: b\r\n\r\nid: 3\nda");
+    ASSERT_EQ(events.size(), 2U);
+    EXPECT_EQ(events[0].bytes, "id: 1\ndata: a\n\n");
+    EXPECT_EQ(events[0].id, 1U);
+    EXPECT_EQ(events[1].bytes, "id: 2\r\ndata: b\r\n\r\n");
+    EXPECT_EQ(events[1].id, 2U);
+    EXPECT_EQ(splitter.unfinished(), 8U);
+}
+
+TEST(EventSplitter, BytesComeOutAsTheyWentIn) {
+    const std::string stream = "weight-versions: 2\nid:7\ndata: x\n\n:note\n\nid: x\ndata:\n\n";
+    for (std::size_t step = 1; step < stream.size(); ++step) {
+        event_splitter splitter;
+        std::string out;
+        for (std::size_t at = 0; at < stream.size(); at += step) {
+            for (const auto& event : splitter.take(stream.substr(at, step))) {
+                out += event.bytes;
+            }
+        }
+        EXPECT_EQ(out, stream);
+        EXPECT_EQ(splitter.unfinished(), 0U);
+    }
+}
--- /dev/null
+++ b/tests/unit-grant_desk.cpp
@@ -0,0 +1,254 @@
+#include <gtest/gtest.h>
+
+#include "desk_replay.hpp"
+
+namespace {
+
+using namespace tarragonspar;
+using namespace tarragonspar::dispatch;
+using std::chrono::milliseconds;
+using tarragonspar::testing::desk_replay;
+
+
+config::server make_server(std::uint32_t id, std::uint32_t slots = 1) {
+    return {.id = {id},
+            .name = "i-" + std::to_string(id),
+            .address = "10.0.0." + std::to_string(id) + ":80",
+            .offers = {"m"},
+            .hardware_class = std::to_string(id),
+            .slots = slots,
+            .slots_are_exact = true};
+}
+
+struct fixture {
+    grant_desk desk;
+    time_point now{std::chrono::seconds{100}};
+    std::map<std::uint64_t, grant> granted;
+    std::map<std::uint64_t, refusal> refused;
+
+    explicit fixture(const std::vector<config::server>& servers) {
+        std::vector<decision> made;
+        set_servers(desk, servers, now, made);
+    }
+
+    [[nodiscard]] work_item make(std::uint64_t sequence, std::uint8_t tier_number,
+                                 std::uint32_t issuer = 1) const {
+        work_item work;
+        work.id = {.issuer = {issuer}, .issued_in = {5}, .sequence = sequence};
+        work.urgency = {tier_number};
+        work.model = {hash_name("m")};
+        work.arrival = now;
+        work.deadline = now + std::chrono::seconds{10};
+        work.prompt = {100};
+        work.max_output = {100};
+        return work;
+    }
+
+    void take(const std::vector<decision>& made) {
+        for (const auto& item : made) {
+            if (const auto* given = std::get_if<grant>(&item.what)) {
+                granted[item.id.sequence] = *given;
+            } else {
+                refused[item.id.sequence] = std::get<refusal>(item.what);
+            }
+        }
+    }
+
+    void ask(const work_item& work, earlier_grant earlier = earlier_grant::none) {
+        granted.erase(work.id.sequence);
+        std::vector<decision> made;
+        dispatch::ask(desk, work, earlier, now, made);
+        take(made);
+    }
+
+    void tell(std::uint64_t sequence, grant_news::what kind, bool fault = false) {
+        std::vector<decision> made;
+        note(desk,
+             {.id = make(sequence, 0).id, .kind = kind, .generated = {10}, .server_fault = fault},
+             now, made);
+        take(made);
+    }
+
+    void report(const holder_report& what) {
+        std::vector<decision> made;
+        reconcile(desk, what, now, made);
+        take(made);
+    }
+};
+
+} // namespace
+
+TEST(GrantDesk, GrantsAFreeServerAndThenTheMostUrgentThatWaits) {
+    fixture f({make_server(1)});
+    f.ask(f.make(1, 2));
+    EXPECT_EQ(f.granted.at(1).address, "10.0.0.1:80");
+    f.ask(f.make(2, 2));
+    f.ask(f.make(3, 0));
+    EXPECT_FALSE(f.granted.contains(2) || f.granted.contains(3));
+    f.tell(1, grant_news::what::done);
+    EXPECT_TRUE(f.granted.contains(3));
+    EXPECT_FALSE(f.granted.contains(2));
+}
+
+TEST(GrantDesk, AServerOutOfReachIsNotTriedTwiceByOneRequest) {
+    fixture f({make_server(1), make_server(2)});
+    auto work = f.make(1, 0);
+    f.ask(work);
+    const auto first = f.granted.at(1).server;
+    f.ask(work, earlier_grant::not_connected);
+    EXPECT_NE(f.granted.at(1).server, first);
+}
+
+TEST(GrantDesk, ADrainingServerGetsNothing) {
+    auto leaving = make_server(1, 4);
+    fixture f({leaving, make_server(2, 1)});
+    leaving.state = config::server_state::draining;
+    std::vector<decision> made;
+    set_servers(f.desk, {leaving, make_server(2, 1)}, f.now, made);
+    f.ask(f.make(1, 0));
+    f.ask(f.make(2, 0));
+    EXPECT_EQ(f.granted.at(1).server, server_id{2});
+    EXPECT_FALSE(f.granted.contains(2));
+}
+
+// A lost grant must not keep its slot for ever: the holder's reports don't list it.
+TEST(GrantDesk, AGrantThatItsHolderDoesNotKnowIsTakenBack) {
+    fixture f({make_server(1)});
+    f.report({.holder = {1}, .started_as = {5}});
+    f.ask(f.make(1, 0));
+    f.ask(f.make(2, 0));
+    f.report({.holder = {1}, .started_as = {5}, .waiting = {2}});
+    EXPECT_FALSE(f.granted.contains(2)) << "a report may have crossed the grant";
+    f.now += milliseconds{1'600};
+    f.report({.holder = {1}, .started_as = {5}, .waiting = {2}});
+    EXPECT_TRUE(f.granted.contains(2));
+}
+
+TEST(GrantDesk, ARestartedHolderRunsNothingOfBefore) {
+    fixture f({make_server(1)});
+    f.report({.holder = {1}, .started_as = {5}});
+    f.ask(f.make(1, 0));
+    f.ask(f.make(2, 0, 2));
+    f.report({.holder = {1}, .started_as = {6}});
+    EXPECT_TRUE(f.granted.contains(2));
+}
+
+TEST(GrantDesk, ANewDeskLearnsWhatRuns) {
+    fixture f({make_server(1)});
+    f.report({.holder = {1}, .started_as = {5}, .running = {{.work = f.make(9, 0), .server = {1}}}});
+    f.ask(f.make(1, 0));
+    EXPECT_FALSE(f.granted.contains(1)) << "the one slot is taken";
+    f.tell(9, grant_news::what::done);
+    EXPECT_TRUE(f.granted.contains(1));
+}
+
+TEST(GrantDesk, ASilentHolderFreesItsSlots) {
+    fixture f({make_server(1)});
+    f.report({.holder = {2}, .started_as = {5}});
+    f.ask(f.make(1, 0, 2));
+    f.ask(f.make(2, 0));
+    f.now += std::chrono::seconds{5};
+    std::vector<decision> made;
+    tick(f.desk, f.now, made);
+    f.take(made);
+    EXPECT_TRUE(f.granted.contains(2));
+}
+
+TEST(GrantDesk, WhatWouldWaitTooLongIsRefusedAtOnceLeastUrgentFirst) {
+    fixture f({make_server(1)});
+    std::uint64_t sequence = 0;
+    while (f.refused.empty() && sequence < 200) {
+        ++sequence;
+        f.ask(f.make(sequence, sequence % 2 == 0 ? 2 : 0));
+    }
+    ASSERT_FALSE(f.refused.empty());
+    const auto& [id, what] = *f.refused.begin();
+    EXPECT_EQ(id % 2, 0U) << "a less urgent request waits";
+    EXPECT_EQ(what.why, reason::overloaded);
+    EXPECT_GT(what.retry_after, duration{});
+    EXPECT_LE(what.retry_after, std::chrono::seconds{1}) << "callers with short deadlines come back";
+}
+
+TEST(GrantDesk, NothingIsTurnedAwayForSpeedsThatWereNeverSeen) {
+    fixture f({make_server(1)});
+    auto work = f.make(1, 0);
+    work.deadline = f.now + milliseconds{500};
+    work.max_output = {100'000};
+    f.ask(work);
+    EXPECT_TRUE(f.granted.contains(1));
+}
+
+TEST(GrantDesk, WindowsOfKnownSlotsDoNotShrink) {
+    fixture f({make_server(1, 4)});
+    for (std::uint64_t i = 1; i <= 40; ++i) {
+        f.ask(f.make(i, 0));
+        f.now += std::chrono::seconds{2}; // far later than predicted
+        f.tell(i, grant_news::what::first_token);
+        f.tell(i, grant_news::what::done);
+    }
+    for (std::uint64_t i = 101; i <= 104; ++i) {
+        f.ask(f.make(i, 0));
+        EXPECT_TRUE(f.granted.contains(i));
+    }
+}
+
+// When all servers of a service fail part of their requests, ejecting them helps nobody.
+TEST(GrantDesk, ServersStayInUseWhenHalfOrMoreFail) {
+    fixture f({make_server(1, 4), make_server(2, 4)});
+    for (std::uint64_t i = 1; i <= 12; ++i) {
+        f.ask(f.make(i, 0));
+        ASSERT_TRUE(f.granted.contains(i)) << i;
+        f.tell(i, grant_news::what::failed, true);
+    }
+}
+
+TEST(GrantDesk, QuotasAreChargedOnceAndGivenBack) {
+    fixture f({make_server(1, 4)});
+    admission::set_limits(f.desk.quotas, {{workspace_id{3}, {.units_per_second = 10, .burst = 10}}},
+                          f.now);
+    auto work = f.make(1, 0);
+    work.workspace = {3};
+    work.quota_units = 10;
+    f.ask(work);
+    ASSERT_TRUE(f.granted.contains(1));
+    f.ask(work, earlier_grant::server_failed);
+    EXPECT_TRUE(f.granted.contains(1)) << "another attempt is the same request";
+    auto second = f.make(2, 0);
+    second.workspace = {3};
+    second.quota_units = 10;
+    f.ask(second);
+    EXPECT_EQ(f.refused.at(2).why, reason::workspace_limit);
+    EXPECT_EQ(f.refused.at(2).retry_after, std::chrono::seconds{1});
+}
+
+// The load of the users' scale days: 2.2 times the usual for four seconds on engines of unlike
+// speeds. Ordered by deadlines alone, all wait equally long and the most urgent are late too.
+TEST(GrantDeskReplay, OnTimeFirstServesMoreInABurst) {
+    int better = 0;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        auto with = desk_replay({.seed = seed, .requests_per_second = 75.0}).run();
+        auto without = desk_replay({.seed = seed,
+                                    .requests_per_second = 75.0,
+                                    .objectives = false,
+                                    .max_wait_seconds = 0.0})
+                           .run();
+        EXPECT_GE(with[0].share(), 0.95) << "seed " << seed;
+        EXPECT_GE(with[0].share(), with[1].share() - 0.05) << "seed " << seed;
+        const auto total = [](auto& result) {
+            return result[0].in_objective + result[1].in_objective + result[2].in_objective;
+        };
+        better += total(with) > total(without) * 1.05 ? 1 : 0;
+    }
+    EXPECT_GE(better, 4) << "more answers within their objective in at least four of five bursts";
+}
+
+TEST(GrantDeskReplay, EverybodyIsServedInTimeAtTheUsualLoad) {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        auto result =
+            desk_replay({.seed = seed, .requests_per_second = 40.0, .burst_factor = 1.0}).run();
+        for (const auto& [level, share] : result) {
+            EXPECT_GE(share.share(), 0.97) << "seed " << seed << " tier " << level;
+            EXPECT_EQ(share.refused, 0) << "seed " << seed << " tier " << level;
+        }
+    }
+}
--- /dev/null
+++ b/tests/unit-platform.cpp
@@ -0,0 +1,167 @@
+#include <gtest/gtest.h>
+
+#include "platform_dialect.hpp"
+#include "tarragonspar/http/detail/session.hpp"
+
+namespace {
+
+using namespace tarragonspar;
+using platform::platform_dialect;
+
+http::request_message make_request(const http::header_list& headers) {
+    http::request_message request{http::beast_http::verb::post, "/a/b", 11};
+    for (const auto& [name, value] : headers) {
+        request.insert(name, value);
+    }
+    return request;
+}
+
+std::string find(const http::header_list& list, const std::string& name) {
+    for (const auto& [known, value] : list) {
+        if (known == name) {
+            return value;
+        }
+    }
+    return "(none)";
+}
+
+constexpr const char* manifest = R"({"version":7,
+ "routes":[{"name":"r","host":"A.example","path_prefix":"/p/","kind":"streaming","timeout_ms":8000,
+   "target_latency_ms":1000,"priority":1,"traffic_split":[{"service":"s","weight":90},
+   {"service":"t","weight":10}],"max_attempts":2,"resumable":true},
+  {"name":"q","host":"a.example","path_prefix":"/q/","kind":"unsafe","timeout_ms":500,"service":"t"}],
+ "services":[{"name":"s","max_connections":360,"engine":{"slots":4,"stride":6}},{"name":"t"}],
+ "limits":{"max_header_bytes":1000,"max_body_bytes":2000,"header_timeout_ms":30,
+   "idle_timeout_ms":40},
+ "tenants":[{"name":"w","api_keys":["k"],"priority":1,"unit":"tokens","plain_tokens":200,
+   "rate_per_s":100,"burst":50}]})";
+
+} // namespace
+
+TEST(Platform, ReadsARequest) {
+    const platform_dialect dialect;
+    const auto read = dialect.read_request(make_request({{"Host", "A.Example"},
+                                                         {"Attempt-Id", "9c41"},
+                                                         {"Key", "secret"},
+                                                         {"Deadline-Ms", "8000"},
+                                                         {"Token-Usage", "1460,80"},
+                                                         {"Length-Hint", "60"},
+                                                         {"Prompt-Prefix", "5c1e07a2:800,91bd:410"},
+                                                         {"Last-Event-Id", "12"}}));
+    EXPECT_EQ(read.fault, "");
+    EXPECT_EQ(read.host, "a.example");
+    EXPECT_EQ(read.name, "9c41");
+    EXPECT_EQ(read.workspace_key, "secret");
+    EXPECT_EQ(read.time_left, std::chrono::milliseconds{8'000});
+    EXPECT_EQ(read.prompt, token_count{1460});
+    EXPECT_EQ(read.max_output, token_count{80});
+    EXPECT_EQ(read.expected_output, token_count{60});
+    ASSERT_EQ(read.parts.size(), 2U);
+    EXPECT_EQ(read.parts[1].key, 0x91bdU);
+    EXPECT_EQ(read.resume_after, 12U);
+}
+
+TEST(Platform, OnlyTheSystemSaysWhatIsReserved) {
+    const platform_dialect dialect;
+    const auto read = dialect.read_request(make_request(
+        {{"Host", "a"}, {"Attempt-Id", "1"}, {"Key", "secret"}, {"tenant", "forged"},
+         {"Expect-Instance", "forged"}, {"Hold", "h"}, {"Pin-Ms", "1"}, {"Kv-Fetch", "x"},
+         {"Kv-From", "x"}, {"Kv-Backup", "x"}, {"Expect-Version", "2"}, {"Model", "m"},
+         {"Connection", "keep-alive"}, {"X-Own", "kept"}, {"Deadline-Ms", "70"}}));
+    gateway::dispatch_terms terms;
+    terms.time_left = std::chrono::milliseconds{50};
+    terms.server_name = "i-1";
+    terms.workspace = "w";
+    const auto sent = dialect.server_headers(read, terms);
+    for (const auto* name : {"Key", "tenant", "Hold", "Pin-Ms", "Kv-Fetch", "Kv-From", "Kv-Backup",
+                             "Expect-Version", "Last-Event-Id"}) {
+        EXPECT_EQ(find(sent, name), "(none)") << name;
+    }
+    EXPECT_EQ(find(sent, "Tenant"), "w");
+    EXPECT_EQ(find(sent, "Expect-Instance"), "i-1");
+    EXPECT_EQ(find(sent, "Deadline-Ms"), "50");
+    EXPECT_EQ(find(sent, "Attempt-Id"), "1");
+    EXPECT_EQ(find(sent, "Model"), "m");
+    EXPECT_EQ(find(sent, "X-Own"), "kept");
+    EXPECT_EQ(find(sent, "Host"), "a");
+}
+
+TEST(Platform, WhatCountsOnceMustNotStandTwice) {
+    const platform_dialect dialect;
+    for (const auto* name : {"Attempt-Id", "Key", "Deadline-Ms", "Token-Usage"}) {
+        const auto read = dialect.read_request(
+            make_request({{"Host", "a"}, {"Attempt-Id", "1"}, {name, "2"}, {name, "3"}}));
+        EXPECT_NE(read.fault, "") << name;
+    }
+    EXPECT_NE(dialect.read_request(make_request({{"Host", "a"}})).fault, "");
+}
+
+TEST(Platform, ReadsAManifest) {
+    const auto read = platform::read_manifest(manifest);
+    ASSERT_TRUE(read.faults.empty()) << read.faults.front();
+    const auto& value = read.value;
+    EXPECT_TRUE(config::find_faults(value).empty());
+    EXPECT_EQ(value.number, config::document_number{7});
+    EXPECT_EQ(value.routes[0].host, "a.example");
+    EXPECT_EQ(value.routes[0].services[1].weight, 10U);
+    EXPECT_EQ(value.routes[0].max_attempts, 2U);
+    EXPECT_TRUE(value.routes[0].resumable);
+    EXPECT_EQ(value.routes[1].kind, config::request_kind::unsafe);
+    EXPECT_EQ(value.routes[1].max_attempts, 1U);
+    EXPECT_EQ(value.services[0].tokens_per_event, 6U);
+    EXPECT_EQ(value.limits.max_body_bytes, 2'000U);
+    EXPECT_EQ(value.workspaces[0].quota.burst, 50.0);
+    EXPECT_EQ(value.workspaces[0].urgency, tier{1});
+}
+
+TEST(Platform, AManifestThatIsCutAnywhereIsRefused) {
+    const std::string whole = manifest;
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+        EXPECT_FALSE(platform::read_manifest(whole.substr(0, size)).faults.empty()) << size;
+    }
+}
+
+TEST(Platform, EntriesOfOtherWritersAreLeftOut) {
+    const auto page = platform::read_instances(
+        "{\"instances\":["
+        "{\"id\":\"i-1\",\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
+        "\"slots\":4,\"state\":\"ready\",\"models\":[{\"name\":\"m\"}]},"
+        "{\"id\":\"i-2\",\"service\":\"s\",\"address\":\"10.0.0.2:80\",\"zone\":\"a\","
+        "\"slots\":4,\"state\":\"draining\"},"
+        "{\"id\":\"i-3\",\"service\":\"s\",\"address\":\"10.0.0.3:80\",\"zone\":\"a\","
+        "\"slots\":\"4\",\"state\":\"ready\"},"
+        "{\"id\":\"i-4\",\"service\":7,\"address\":\"10.0.0.4:80\",\"zone\":\"a\",\"slots\":4,"
+        "\"state\":\"ready\"},"
+        "{\"id\":\"i-5\",\"service\":\"s\",\"address\":\"nowhere\",\"zone\":\"a\",\"slots\":4,"
+        "\"state\":\"ready\"},"
+        "{\"id\":\"i-6\",\"service\":\"s\",\"address\":\"10.0.0.6:80\",\"zone\":\"a\",\"slots\":4,"
+        "\"state\":\"resting\"},"
+        "{\"id\":\"\xff\xfe\",\"service\":\"s\",\"address\":\"10.0.0.7:80\",\"zone\":\"a\","
+        "\"slots\":4,\"state\":\"ready\"},"
+        "7,null,[]],\"next\":\"p-50\"}");
+    ASSERT_TRUE(page.readable);
+    ASSERT_EQ(page.servers.size(), 2U);
+    EXPECT_EQ(page.servers[0].name, "i-1");
+    EXPECT_EQ(page.servers[0].kind, config::server_kind::engine);
+    EXPECT_EQ(page.servers[1].state, config::server_state::draining);
+    EXPECT_EQ(page.next, "p-50");
+    EXPECT_FALSE(platform::read_instances("{\"instances\":").readable);
+}
+
+TEST(Framing, DoubtfulRequestsAreRefused) {
+    const auto fault = [](const http::header_list& headers, const std::string& target = "/a") {
+        auto request = make_request(headers);
+        request.target(target);
+        return http::detail::find_framing_fault(request);
+    };
+    EXPECT_EQ(fault({{"Host", "a"}, {"Content-Length", "3"}}), "");
+    EXPECT_EQ(fault({{"Host", "a"}, {"Transfer-Encoding", "chunked"}}), "");
+    EXPECT_NE(fault({{"Host", "a"}, {"Host", "b"}}), "");
+    EXPECT_NE(fault({{"Host", "a"}, {"Transfer-Encoding", "chunked"}, {"Content-Length", "3"}}),
+              "");
+    EXPECT_NE(fault({{"Host", "a"}, {"Transfer-Encoding", "gzip, chunked"}}), "");
+    EXPECT_NE(fault({{"Host", "a"}, {"Transfer-Encoding", "chunked"}, {"Transfer-Encoding", "x"}}),
+              "");
+    EXPECT_NE(fault({{"Host", "a"}, {"Content-Length", "3"}, {"Content-Length", "4"}}), "");
+    EXPECT_NE(fault({{"Host", "a"}}, "http://b/a"), "");
+}
--- /dev/null
+++ b/tests/unit-quota.cpp
@@ -0,0 +1,102 @@
+#include <gtest/gtest.h>
+
+#include "tarragonspar/admission/quota.hpp"
+#include "tarragonspar/admission/retry_allowance.hpp"
+
+namespace {
+
+using namespace tarragonspar;
+using namespace tarragonspar::admission;
+using std::chrono::milliseconds;
+
+constexpr workspace_id w{7};
+
+time_point at(int ms) {
+    return time_point{milliseconds{100'000 + ms}};
+}
+
+quota_table make_table(double rate, double burst) {
+    quota_table table;
+    set_limits(table, {{w, {.units_per_second = rate, .burst = burst}}}, at(0));
+    return table;
+}
+
+} // namespace
+
+TEST(Quota, BurstThenRate) {
+    auto table = make_table(100.0, 50.0);
+    EXPECT_EQ(take(table, w, 50, at(0)), duration{});
+    const auto wait = take(table, w, 10, at(0));
+    EXPECT_EQ(wait, milliseconds{100});
+    EXPECT_EQ(take(table, w, 10, at(100)), duration{});
+    EXPECT_EQ(take(table, workspace_id{8}, 1'000, at(100)), duration{}) << "no limit is set";
+}
+
+TEST(Quota, ARequestLargerThanTheBurstPassesAFullBucket) {
+    auto table = make_table(100.0, 50.0);
+    EXPECT_EQ(take(table, w, 80, at(0)), duration{});
+    EXPECT_GT(take(table, w, 1, at(100)), duration{}) << "its debt is paid first";
+}
+
+TEST(Quota, WhatWasNotRunIsGivenBack) {
+    auto table = make_table(100.0, 50.0);
+    EXPECT_EQ(take(table, w, 50, at(0)), duration{});
+    give_back(table, w, 50);
+    EXPECT_EQ(take(table, w, 50, at(0)), duration{});
+}
+
+TEST(Quota, ALowerLimitTakesWhatWasSaved) {
+    auto table = make_table(100.0, 50.0);
+    set_limits(table, {{w, {.units_per_second = 1.0, .burst = 5.0}}}, at(10));
+    EXPECT_EQ(take(table, w, 5, at(10)), duration{});
+    EXPECT_GT(take(table, w, 5, at(10)), duration{});
+}
+
+// After the loss of the counting instance, the sum over any window must stay within the limit.
+TEST(Quota, ANewCounterGoesOnFromWhatWasUsed) {
+    auto table = make_table(100.0, 50.0);
+    resume(table, {{w, 850.0}}, std::chrono::seconds{8}, at(0));
+    EXPECT_GT(take(table, w, 1, at(0)), duration{}) << "the window's 850 units are used up";
+    auto idle = make_table(100.0, 50.0);
+    resume(idle, {}, std::chrono::seconds{8}, at(0));
+    EXPECT_EQ(take(idle, w, 50, at(0)), duration{});
+}
+
+TEST(Quota, StretchedWithinTheTolerance) {
+    const quota_tolerance tolerance{.overage = 0.1, .slack = 190'000.0};
+    const auto limit = stretch({.units_per_second = 75'000.0, .burst = 75'000.0}, tolerance);
+    const double window = 8.0;
+    const double allowed = (75'000.0 * window + 75'000.0) * 1.1 + 190'000.0;
+    EXPECT_LE(limit.units_per_second * window + limit.burst, allowed);
+}
+
+TEST(Quota, UseIsForgottenAfterTheWindow) {
+    usage_window used(std::chrono::seconds{8});
+    used.add(w, 30, at(0));
+    used.add(w, 12, at(5'000));
+    EXPECT_EQ(used.used(at(6'000))[w], 42.0);
+    EXPECT_EQ(used.used(at(8'500))[w], 12.0);
+}
+
+TEST(RetryAllowance, TheSumOverInstancesKeepsTheLimit) {
+    constexpr int instances = 6;
+    const retry_limits limits{.ratio = 0.2, .slack = 52.0, .instances = instances};
+    int repeats = 0;
+    for (int i = 0; i < instances; ++i) {
+        retry_allowance own{.limits = limits, .services = {}};
+        for (int request = 0; request < 100; ++request) {
+            note_first(own, "s", at(request * 10));
+            repeats += try_repeat(own, "s", at(request * 10)) ? 1 : 0;
+        }
+    }
+    EXPECT_GT(repeats, instances * 20 / 2);
+    EXPECT_LE(repeats, 0.2 * 100 * instances + 52.0);
+}
+
+TEST(RetryAllowance, ReturnsWithTime) {
+    retry_allowance own{.limits = {.ratio = 0.0, .slack = 2.0}, .services = {}};
+    EXPECT_TRUE(try_repeat(own, "s", at(0)));
+    EXPECT_FALSE(try_repeat(own, "s", at(1)));
+    EXPECT_TRUE(try_repeat(own, "t", at(1))) << "services are counted apart";
+    EXPECT_TRUE(try_repeat(own, "s", at(10'001)));
+}
