--- a/tests/desk_replay.hpp
+++ b/tests/desk_replay.hpp
@@ -107,9 +107,11 @@
             work.arrival = time_point{} + from_seconds(1.0 + at);
             work.deadline = work.arrival + std::chrono::milliseconds{deadline_ms[tier_number]};
             if (options_.objectives) {
-                work.objective = work.arrival + std::chrono::milliseconds{objective_ms[tier_number]};
+                work.objective =
+                    work.arrival + std::chrono::milliseconds{objective_ms[tier_number]};
             }
-            work.prompt = {static_cast<std::uint32_t>(mean_prompt[tier_number] * spread(random_)) + 1};
+            work.prompt = {static_cast<std::uint32_t>(mean_prompt[tier_number] * spread(random_)) +
+                           1};
             made.output = mean_output[tier_number] * spread(random_) + 1.0;
             work.max_output = {static_cast<std::uint32_t>(made.output) + 1};
             objectives_[work.id.sequence] =
--- a/tests/unit-grant_desk.cpp
+++ b/tests/unit-grant_desk.cpp
@@ -9,7 +9,6 @@
 using std::chrono::milliseconds;
 using tarragonspar::testing::desk_replay;
 
-
 config::server make_server(std::uint32_t id, std::uint32_t slots = 1) {
     return {.id = {id},
             .name = "i-" + std::to_string(id),
@@ -135,7 +134,8 @@
 
 TEST(GrantDesk, ANewDeskLearnsWhatRuns) {
     fixture f({make_server(1)});
-    f.report({.holder = {1}, .started_as = {5}, .running = {{.work = f.make(9, 0), .server = {1}}}});
+    f.report(
+        {.holder = {1}, .started_as = {5}, .running = {{.work = f.make(9, 0), .server = {1}}}});
     f.ask(f.make(1, 0));
     EXPECT_FALSE(f.granted.contains(1)) << "the one slot is taken";
     f.tell(9, grant_news::what::done);
@@ -166,7 +166,8 @@
     EXPECT_EQ(id % 2, 0U) << "a less urgent request waits";
     EXPECT_EQ(what.why, reason::overloaded);
     EXPECT_GT(what.retry_after, duration{});
-    EXPECT_LE(what.retry_after, std::chrono::seconds{1}) << "callers with short deadlines come back";
+    EXPECT_LE(what.retry_after, std::chrono::seconds{1})
+        << "callers with short deadlines come back";
 }
 
 TEST(GrantDesk, NothingIsTurnedAwayForSpeedsThatWereNeverSeen) {
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -63,11 +63,21 @@
 
 TEST(Platform, OnlyTheSystemSaysWhatIsReserved) {
     const platform_dialect dialect;
-    const auto read = dialect.read_request(make_request(
-        {{"Host", "a"}, {"Attempt-Id", "1"}, {"Key", "secret"}, {"tenant", "forged"},
-         {"Expect-Instance", "forged"}, {"Hold", "h"}, {"Pin-Ms", "1"}, {"Kv-Fetch", "x"},
-         {"Kv-From", "x"}, {"Kv-Backup", "x"}, {"Expect-Version", "2"}, {"Model", "m"},
-         {"Connection", "keep-alive"}, {"X-Own", "kept"}, {"Deadline-Ms", "70"}}));
+    const auto read = dialect.read_request(make_request({{"Host", "a"},
+                                                         {"Attempt-Id", "1"},
+                                                         {"Key", "secret"},
+                                                         {"tenant", "forged"},
+                                                         {"Expect-Instance", "forged"},
+                                                         {"Hold", "h"},
+                                                         {"Pin-Ms", "1"},
+                                                         {"Kv-Fetch", "x"},
+                                                         {"Kv-From", "x"},
+                                                         {"Kv-Backup", "x"},
+                                                         {"Expect-Version", "2"},
+                                                         {"Model", "m"},
+                                                         {"Connection", "keep-alive"},
+                                                         {"X-Own", "kept"},
+                                                         {"Deadline-Ms", "70"}}));
     gateway::dispatch_terms terms;
     terms.time_left = std::chrono::milliseconds{50};
     terms.server_name = "i-1";
