Kinds of request are ranked inside a tier; what is late is given up early

Change: tier, then on time or not, then the route's own priority; waiting ends 0.8 s past the objective; the queue is bounded at 1.2 s of work, newest of the least urgent kind first; Retry-After is a fifth of the time that the caller has.

--- a/include/tarragonspar/admission/tier_queue.hpp
+++ b/include/tarragonspar/admission/tier_queue.hpp
@@ -28,10 +28,11 @@
 
 /// @brief Requests that wait for one model or service, by tier, workspace and deadline.
 ///
-/// The next item comes from the most urgent tier that has any. Inside a tier, workspaces are served
-/// by start-time fair queueing: a workspace is eligible while the work it has received exceeds the
-/// least served one's by no more than the slack; among the eligible ones the earliest deadline
-/// wins.
+/// The next item comes from the most urgent tier that has any. Inside a tier, requests that can
+/// still meet their latency objective go first, by the rank of their kind; inside a rank,
+/// workspaces are served by start-time fair queueing: a workspace is eligible while the work it has
+/// received exceeds the least served one's by no more than the slack; among the eligible ones the
+/// earliest deadline wins.
 class tier_queue {
 public:
     explicit tier_queue(const queue_options& options = {}) : options_(options) {}
@@ -59,7 +60,7 @@
     [[nodiscard]] std::vector<const queued_item*>
     candidates(tier max_urgency, std::size_t limit, time_point now = time_point::min()) const;
 
-    /// @brief The request of the least urgent tier that is due last, or null.
+    /// @brief The request of the least urgent tier and rank that is due last, or null.
     [[nodiscard]] const queued_item* newest_of_lowest_tier() const;
 
     /// @brief Removes an item that is about to be dispatched and charges its workspace.
@@ -106,7 +107,7 @@
         double virtual_time{};
     };
 
-    struct tier_lanes {
+    struct level_lanes {
         std::unordered_map<workspace_id, lane> lanes;
         std::set<std::pair<double, workspace_id>> backlogged;
         std::set<deadline_key> order;
@@ -116,15 +117,19 @@
 
     void unlink(const queued_item& item);
     void charge(const queued_item& item);
-    void forget_idle_lanes(tier_lanes& lanes);
-    [[nodiscard]] const queued_item* peek_tier(const tier_lanes& lanes) const;
-    void collect(const tier_lanes& lanes, std::size_t limit, time_point now,
+    void forget_idle_lanes(level_lanes& lanes);
+    [[nodiscard]] const queued_item* peek_level(const level_lanes& lanes) const;
+    [[nodiscard]] const level_lanes* lowest_level() const;
+    [[nodiscard]] static constexpr std::size_t first_level(tier which) noexcept {
+        return std::size_t{which.value} * rank_count;
+    }
+    void collect(const level_lanes& lanes, bool on_time, std::size_t limit, time_point now,
                  std::vector<const queued_item*>& out) const;
 
     queue_options options_;
     std::unordered_map<request_id, queued_item> items_;
     std::set<deadline_key> deadlines_;
-    std::array<tier_lanes, tier_count> tiers_;
+    std::array<level_lanes, std::size_t{tier_count} * rank_count> levels_; ///< by tier, then rank
 };
 
 } // namespace tarragonspar::admission
--- a/include/tarragonspar/dispatch/detail/shedding.hpp
+++ b/include/tarragonspar/dispatch/detail/shedding.hpp
@@ -21,6 +21,12 @@
 /// @brief Refuses what has run out of time, or can't be answered in time by any schedule.
 void expire(scheduler& target, time_point now, std::vector<effect>& effects);
 
+/// @brief Refuses what has waited past its latency objective and is still not served.
+///
+/// Answers load that outruns all servers for seconds: held to the end, such requests are answered
+/// by nobody and their callers learn it last.
+void give_up_late(scheduler& target, time_point now, std::vector<effect>& effects);
+
 /// @brief Sheds or transfers requests of the least urgent waiting tier that can't finish in time.
 void shed_infeasible(scheduler& target, time_point now, std::vector<effect>& effects);
 
--- a/include/tarragonspar/dispatch/scheduler.hpp
+++ b/include/tarragonspar/dispatch/scheduler.hpp
@@ -23,6 +23,12 @@
     /// Predicted time to serve all that waits for a model, above which the newest request of the
     /// least urgent tier is refused; 0: not bounded.
     double max_wait_seconds{0.0};
+    /// Time past its latency objective for which a request still waits; what can't be served then
+    /// is refused, to come back later. 0: it waits until its deadline.
+    duration late_patience{};
+    /// Part of its remaining time after which a request refused for lack of room should come back;
+    /// 0: as long as the queue takes to drain.
+    double return_share{0.0};
     duration min_retry_after{std::chrono::seconds{1}};
     duration max_retry_after{std::chrono::seconds{60}};
     bool transfer_to_peers{true};
@@ -82,6 +88,7 @@
     std::unordered_set<block_hash> prefixes_underway;    ///< computed now, and worth waiting for
     routing::length_estimator lengths;
     routing::retry_budget retries;
+    time_point ejection_checked{};
     bool draining{false};
 };
 
--- a/include/tarragonspar/types/units.hpp
+++ b/include/tarragonspar/types/units.hpp
@@ -34,6 +34,15 @@
 /// Number of tiers that a deployment distinguishes.
 inline constexpr std::uint8_t tier_count = 4;
 
+/// Urgency of a kind of request among those of one tier; 0 is the most urgent.
+struct kind_rank {
+    std::uint8_t value{};
+    friend constexpr auto operator<=>(const kind_rank&, const kind_rank&) = default;
+};
+
+/// Number of ranks inside a tier.
+inline constexpr std::uint8_t rank_count = 4;
+
 /// Tokens in one block of the prefix cache.
 inline constexpr std::uint32_t block_tokens = 64;
 
--- a/include/tarragonspar/types/work.hpp
+++ b/include/tarragonspar/types/work.hpp
@@ -11,6 +11,7 @@
 struct work_item {
     request_id id;
     tier urgency;
+    kind_rank rank; ///< orders the kinds of request inside the tier
     workspace_id workspace;
     model_id model;
     std::uint64_t profile{};        ///< hash of the profile's name
--- a/include/tarragonspar/wire/schema/instance.capnp.h
+++ b/include/tarragonspar/wire/schema/instance.capnp.h
@@ -731,6 +731,8 @@
 
   inline  ::int64_t getObjectiveUs() const;
 
+  inline  ::uint8_t getRank() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -821,6 +823,9 @@
   inline  ::int64_t getObjectiveUs();
   inline void setObjectiveUs( ::int64_t value);
 
+  inline  ::uint8_t getRank();
+  inline void setRank( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3890,6 +3895,20 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t Work::Reader::getRank() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Work::Builder::getRank() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Work::Builder::setRank( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Call::Reader::getPlain() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/schema/instance.capnp
+++ b/schema/instance.capnp
@@ -30,6 +30,7 @@
   expectedOutput @14 :UInt32;
   objectiveUs @15 :Int64;
   # Remaining time to the latency objective; the least value means that none is stated.
+  rank @16 :UInt8;
 }
 
 struct Call {
--- a/src/admission/tier_queue.cpp
+++ b/src/admission/tier_queue.cpp
@@ -14,11 +14,15 @@
     return work.objective == time_point{} ? work.deadline : work.objective;
 }
 
+std::size_t level_of(const work_item& work) {
+    return std::size_t{work.urgency.value} * rank_count + work.rank.value;
+}
+
 } // namespace
 
 void tier_queue::push(const queued_item& item) {
     const deadline_key key{due(item.work), item.work.id};
-    auto& lanes = tiers_.at(item.work.urgency.value);
+    auto& lanes = levels_.at(level_of(item.work));
     auto& own = lanes.lanes[item.work.workspace];
     if (own.order.empty()) {
         own.virtual_time = std::max(own.virtual_time, lanes.virtual_now);
@@ -33,7 +37,7 @@
 
 void tier_queue::unlink(const queued_item& item) {
     const deadline_key key{due(item.work), item.work.id};
-    auto& lanes = tiers_.at(item.work.urgency.value);
+    auto& lanes = levels_.at(level_of(item.work));
     auto& own = lanes.lanes.at(item.work.workspace);
     own.order.erase(key);
     lanes.order.erase(key);
@@ -57,7 +61,7 @@
 }
 
 void tier_queue::charge(const queued_item& item) {
-    auto& lanes = tiers_.at(item.work.urgency.value);
+    auto& lanes = levels_.at(level_of(item.work));
     auto& own = lanes.lanes[item.work.workspace];
     const auto waiting = !own.order.empty();
     if (waiting) {
@@ -80,7 +84,7 @@
     return item;
 }
 
-void tier_queue::forget_idle_lanes(tier_lanes& lanes) {
+void tier_queue::forget_idle_lanes(level_lanes& lanes) {
     if (lanes.lanes.size() - lanes.backlogged.size() <= max_idle_lanes) {
         return;
     }
@@ -94,7 +98,7 @@
     std::erase_if(lanes.lanes, [](const auto& entry) { return entry.second.order.empty(); });
 }
 
-const queued_item* tier_queue::peek_tier(const tier_lanes& lanes) const {
+const queued_item* tier_queue::peek_level(const level_lanes& lanes) const {
     if (lanes.backlogged.empty()) {
         return nullptr;
     }
@@ -113,45 +117,47 @@
 }
 
 const queued_item* tier_queue::peek(tier max_urgency) const {
-    for (std::uint8_t level = 0; level <= max_urgency.value; ++level) {
-        if (const auto* item = peek_tier(tiers_.at(level)); item != nullptr) {
+    for (std::size_t level = 0; level < first_level({max_urgency.value}) + rank_count; ++level) {
+        if (const auto* item = peek_level(levels_.at(level)); item != nullptr) {
             return item;
         }
     }
     return nullptr;
 }
 
-void tier_queue::collect(const tier_lanes& lanes, std::size_t limit, time_point now,
+void tier_queue::collect(const level_lanes& lanes, bool on_time, std::size_t limit, time_point now,
                          std::vector<const queued_item*>& out) const {
     if (lanes.backlogged.empty()) {
         return;
     }
     const auto last = lanes.backlogged.begin()->first + options_.fairness_slack_seconds;
     const auto first_on_time = lanes.order.lower_bound({now, request_id{}});
-    const auto add = [&](auto from, auto to) {
-        for (; from != to && out.size() < limit; ++from) {
-            const auto& item = items_.at(from->second);
-            if (lanes.lanes.at(item.work.workspace).virtual_time <= last) {
-                out.push_back(&item);
-            }
+    auto from = on_time ? first_on_time : lanes.order.begin();
+    const auto to = on_time ? lanes.order.end() : first_on_time;
+    for (; from != to && out.size() < limit; ++from) {
+        const auto& item = items_.at(from->second);
+        if (lanes.lanes.at(item.work.workspace).virtual_time <= last) {
+            out.push_back(&item);
         }
-    };
-    add(first_on_time, lanes.order.end());
-    add(lanes.order.begin(), first_on_time);
+    }
 }
 
 std::vector<const queued_item*> tier_queue::candidates(tier max_urgency, std::size_t limit,
                                                        time_point now) const {
     std::vector<const queued_item*> out;
-    for (std::uint8_t level = 0; level <= max_urgency.value; ++level) {
-        collect(tiers_.at(level), limit, now, out);
+    for (std::uint8_t urgency = 0; urgency <= max_urgency.value; ++urgency) {
+        for (const auto on_time : {true, false}) {
+            for (std::size_t rank = 0; rank < rank_count; ++rank) {
+                collect(levels_.at(first_level({urgency}) + rank), on_time, limit, now, out);
+            }
+        }
     }
     return out;
 }
 
 const queued_item* tier_queue::newest_of_lowest_tier() const {
-    const auto lowest = lowest_tier();
-    return lowest ? &items_.at(tiers_.at(lowest->value).order.rbegin()->second) : nullptr;
+    const auto* lowest = lowest_level();
+    return lowest == nullptr ? nullptr : &items_.at(lowest->order.rbegin()->second);
 }
 
 const queued_item* tier_queue::find(const request_id& id) const {
@@ -159,23 +165,28 @@
     return found == items_.end() ? nullptr : &found->second;
 }
 
+const tier_queue::level_lanes* tier_queue::lowest_level() const {
+    const auto found = std::find_if(levels_.rbegin(), levels_.rend(),
+                                    [](const auto& lanes) { return !lanes.order.empty(); });
+    return found == levels_.rend() ? nullptr : &*found;
+}
+
 std::optional<tier> tier_queue::lowest_tier() const {
-    for (int level = tier_count - 1; level >= 0; --level) {
-        if (!tiers_.at(level).order.empty()) {
-            return tier{static_cast<std::uint8_t>(level)};
-        }
+    const auto* lowest = lowest_level();
+    if (lowest == nullptr) {
+        return std::nullopt;
     }
-    return std::nullopt;
+    return tier{static_cast<std::uint8_t>((lowest - levels_.data()) / rank_count)};
 }
 
 const queued_item* tier_queue::least_worthy(
     const std::function<bool(const queued_item&, const queued_item&)>& less_worthy) const {
-    const auto lowest = lowest_tier();
-    if (!lowest) {
+    const auto* lowest = lowest_level();
+    if (lowest == nullptr) {
         return nullptr;
     }
     const queued_item* worst = nullptr;
-    for (const auto& [deadline, id] : tiers_.at(lowest->value).order) {
+    for (const auto& [due_at, id] : lowest->order) {
         const auto& item = items_.at(id);
         if (worst == nullptr || less_worthy(item, *worst)) {
             worst = &item;
@@ -189,26 +200,32 @@
 }
 
 void tier_queue::for_each(tier which, const std::function<void(const queued_item&)>& visit) const {
-    for (const auto& [deadline, id] : tiers_.at(which.value).order) {
-        visit(items_.at(id));
+    for (std::size_t rank = 0; rank < rank_count; ++rank) {
+        for (const auto& [due_at, id] : levels_.at(first_level(which) + rank).order) {
+            visit(items_.at(id));
+        }
     }
 }
 
 std::size_t tier_queue::size(tier which) const noexcept {
-    return tiers_.at(which.value).order.size();
+    std::size_t count = 0;
+    for (std::size_t rank = 0; rank < rank_count; ++rank) {
+        count += levels_[first_level(which) + rank].order.size();
+    }
+    return count;
 }
 
 double tier_queue::work_ahead(tier which) const noexcept {
     double work = 0.0;
-    for (std::uint8_t level = 0; level <= which.value; ++level) {
-        work += tiers_.at(level).work_seconds;
+    for (std::size_t level = 0; level < first_level(which) + rank_count; ++level) {
+        work += levels_[level].work_seconds;
     }
     return work;
 }
 
 std::size_t tier_queue::workspace_count() const noexcept {
     std::size_t count = 0;
-    for (const auto& lanes : tiers_) {
+    for (const auto& lanes : levels_) {
         count += lanes.lanes.size();
     }
     return count;
--- a/src/dispatch/grant_desk.cpp
+++ b/src/dispatch/grant_desk.cpp
@@ -65,8 +65,13 @@
     return ids;
 }
 
-/// Wait that is still worth it: later, callers have given up or the answer earns little.
-constexpr double max_wait_seconds = 2.0;
+/// Wait that is still worth it: about the latency objectives of the first users. What would wait
+/// longer is late anyway, and is as late when it comes back. Measured between 0.8 and 2 s.
+constexpr double max_wait_seconds = 1.2;
+/// Time past the objective after which a request is given up: another queue's worth.
+constexpr duration late_patience = std::chrono::milliseconds{800};
+/// Callers come back if told to within a third of their time; less, for the spread that is added.
+constexpr double return_share = 0.2;
 /// Callers come back only if that leaves them time, which a third of a short deadline does.
 constexpr duration min_retry_after = std::chrono::milliseconds{250};
 constexpr duration max_retry_after = std::chrono::milliseconds{1'000};
@@ -76,6 +81,8 @@
 scheduler_options desk_options() {
     scheduler_options options;
     options.max_wait_seconds = max_wait_seconds;
+    options.late_patience = late_patience;
+    options.return_share = return_share;
     options.min_retry_after = min_retry_after;
     options.max_retry_after = max_retry_after;
     options.transfer_to_peers = false;
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -24,6 +24,9 @@
 /// Blocks that tell one prefix from another at most.
 constexpr std::size_t root_blocks = 8;
 
+/// Pause between two looks at how many servers are ejected: short against their pauses.
+constexpr duration ejection_check_interval = std::chrono::milliseconds{20};
+
 /// Dispatch attempts of one request that may fail before the first byte.
 constexpr int max_failed_dispatches = 3;
 
@@ -330,6 +333,10 @@
 /// Ejects servers only while most of their service is left: when half or more fail, the fault is
 /// likely not theirs alone, and the rest could not bear the load.
 void bound_ejection(scheduler& target, time_point now) {
+    if (now - target.ejection_checked < ejection_check_interval) {
+        return;
+    }
+    target.ejection_checked = now;
     struct counts {
         std::size_t all{};
         std::size_t open{};
@@ -471,6 +478,7 @@
     item.work.avoid.push_back(item.server);
     if (const auto server = target.servers.find(item.server); server != target.servers.end()) {
         routing::on_failure(server->second.breaker, now);
+        target.ejection_checked = {}; // its share of the servers has changed
         server->second.cache.evict(item.work.blocks);
     }
     const auto attempts = item.failed_dispatches + 1;
@@ -572,6 +580,7 @@
             routing::on_success(server.breaker);
         } else if (what.server_fault) {
             routing::on_failure(server.breaker, now);
+            target.ejection_checked = {}; // its share of the servers has changed
         }
         if (what.whole && server.kind == config::server_kind::service) {
             routing::observe_decode(server.speed, {1}, now - item.started);
@@ -693,6 +702,7 @@
 
 void handle(scheduler& target, const ticked&, time_point now, std::vector<effect>& effects) {
     dispatch_ready(target, now, effects);
+    detail::give_up_late(target, now, effects);
     detail::offload(target, now, effects);
     detail::shed_infeasible(target, now, effects);
 }
--- a/src/dispatch/shedding.cpp
+++ b/src/dispatch/shedding.cpp
@@ -22,7 +22,14 @@
 void refuse_queued(scheduler& target, request_id id, reason why, time_point now,
                    std::vector<effect>& effects) {
     const auto model = target.queued_model.at(id);
-    const auto pause = retry_after(target, target.pools.at(model), model);
+    auto pause = retry_after(target, target.pools.at(model), model);
+    if (target.options.return_share > 0.0 && why == reason::overloaded) {
+        // Load that outruns all servers lasts for seconds; an earlier return meets it again.
+        const auto& work = target.pools.at(model).queue.find(id)->work;
+        pause =
+            std::max(target.options.min_retry_after,
+                     from_seconds(to_seconds(work.deadline - now) * target.options.return_share));
+    }
     // `withdrawn` keeps the per-workspace and top-tier counts right.
     std::vector<effect> none;
     step(target, withdrawn{.id = id}, now, none);
@@ -218,6 +225,27 @@
     }
 }
 
+void give_up_late(scheduler& target, time_point now, std::vector<effect>& effects) {
+    if (target.options.late_patience == duration{}) {
+        return;
+    }
+    std::vector<request_id> late;
+    for (auto& [model, pool] : target.pools) {
+        for (std::uint8_t level = 0; level < tier_count; ++level) {
+            pool.queue.for_each({level}, [&](const admission::queued_item& item) {
+                const auto& work = item.work;
+                if (work.objective != time_point{} &&
+                    now > work.objective + target.options.late_patience) {
+                    late.push_back(work.id);
+                }
+            });
+        }
+    }
+    for (const auto& id : late) {
+        refuse_queued(target, id, reason::overloaded, now, effects);
+    }
+}
+
 void shed_infeasible(scheduler& target, time_point now, std::vector<effect>& effects) {
     const auto lowest = lowest_waiting(target);
     if (!target.options.refuse_infeasible || !lowest) {
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -115,6 +115,7 @@
     request->body = message.body();
     auto& work = request->work;
     work.urgency = route->urgency;
+    work.rank = {std::min<std::uint8_t>(route->urgency.value, rank_count - 1)};
     if (workspace != nullptr) {
         request->workspace = workspace->name;
         work.workspace = {hash_name(workspace->name)};
@@ -523,6 +524,7 @@
             .add("service", request.service)
             .add("workspace", request.workspace.empty() ? "none" : request.workspace)
             .add("tier", request.work.urgency.value)
+            .add("rank", request.work.rank.value)
             .add("status", request.status)
             .add("why", refused != nullptr  ? to_string(refused->why)
                         : request.gone      ? "caller_gone"
