Quotas of cut-off instances, unreachable servers left out at once

Change: an entry alone grants its equal share and starts with half a bucket; the scheduler leaves the shares of instances that it does not hear; a refused connection opens the breaker at once; 200 ms for a connection. Ruled out: full buckets at each loss of the scheduler, whose sum goes beyond the tolerance.

--- a/include/tarragonspar/admission/quota.hpp
+++ b/include/tarragonspar/admission/quota.hpp
@@ -53,9 +53,10 @@
 /// @brief Sets what is left in each bucket from what was used lately, wherever it was granted.
 ///
 /// Answers the loss of the instance that counted: the next one goes on from what is known.
-/// @param used    units used in the past `window`; workspaces left out used none
+/// @param used      units used in the past `window`; workspaces left out used none
+/// @param at_least  part of each bucket that is there in any case
 void resume(quota_table& target, const std::unordered_map<workspace_id, double>& used,
-            duration window, time_point now);
+            duration window, double at_least, time_point now);
 
 /// @brief Units that requests used in the past window.
 class usage_window {
--- a/include/tarragonspar/dispatch/grant_desk.hpp
+++ b/include/tarragonspar/dispatch/grant_desk.hpp
@@ -83,6 +83,7 @@
     std::map<server_id, config::server> servers;
     admission::quota_table quotas;
     std::map<instance_id, holder_state> holders;
+    std::map<instance_id, time_point> last_heard; ///< also of holders that were given up
 };
 
 /// @brief Replaces the servers.
@@ -113,4 +114,8 @@
 /// @brief Holders heard of lately.
 [[nodiscard]] std::uint32_t holder_count(const grant_desk& source, time_point now);
 
+/// @brief Part of the holders of the past minute that are heard now. The others may be cut off, and
+/// grant their share of the quotas themselves.
+[[nodiscard]] double holder_share(grant_desk& source, time_point now);
+
 } // namespace tarragonspar::dispatch
--- a/include/tarragonspar/gateway/control_instance.hpp
+++ b/include/tarragonspar/gateway/control_instance.hpp
@@ -50,6 +50,7 @@
     void answer_report(const std::string& payload, const std::function<void(wire::answer)>& reply);
     void answer_grant(const std::string& payload, std::function<void(wire::answer)> reply);
     void begin_if_due();
+    void share_quotas();
     [[nodiscard]] bool schedules() const;
     boost::asio::awaitable<void> handle(http::exchange& with);
     boost::asio::awaitable<void> publish(http::exchange& with, std::string content);
@@ -72,6 +73,8 @@
     time_point leads_since_{};
     bool schedules_{false}; ///< leads, knows the servers, and has heard what runs
     config::document newest_;
+    config::catalogue catalogue_; ///< what `newest_` says
+    double quota_share_{1.0};
     std::vector<config::server> servers_;
     std::uint64_t servers_mark_{};
     bool leaving_{false};
--- a/include/tarragonspar/gateway/control_link.hpp
+++ b/include/tarragonspar/gateway/control_link.hpp
@@ -63,7 +63,7 @@
     /// A question without a verdict yet.
     struct open_question {
         work_item work;
-        dispatch::earlier_grant earlier;
+        dispatch::earlier_grant earlier{dispatch::earlier_grant::none};
         desk_service::reply answer;
         std::uint64_t asked{}; ///< number of the time it was asked; other answers are too late
     };
--- a/include/tarragonspar/gateway/desk_service.hpp
+++ b/include/tarragonspar/gateway/desk_service.hpp
@@ -41,6 +41,8 @@
         return !desk_.servers.empty();
     }
     [[nodiscard]] std::uint32_t holders() const;
+    /// @brief Part of the entry instances that are heard now.
+    [[nodiscard]] double holder_share();
     [[nodiscard]] std::size_t queued() const;
 
 private:
--- a/include/tarragonspar/http/backend_call.hpp
+++ b/include/tarragonspar/http/backend_call.hpp
@@ -19,9 +19,10 @@
 
 /// @brief Bounds of a call to a backend server.
 struct backend_call_options {
-    /// Time for a connection to be established: a few round trips inside a region. A server that
-    /// is overrun drops the opening packet, and the next one comes a second later.
-    std::chrono::milliseconds connect_timeout{400};
+    /// Time for a connection to be established: many round trips inside a region. A server that is
+    /// overrun drops the opening packet, and the next one comes a second later, so waiting longer
+    /// brings nothing before that.
+    std::chrono::milliseconds connect_timeout{200};
     /// Time without any sign of life, after which a server counts as lost.
     std::chrono::milliseconds silence_timeout{2'500};
     std::size_t max_header_bytes{64 * 1024};
--- a/include/tarragonspar/routing/window.hpp
+++ b/include/tarragonspar/routing/window.hpp
@@ -57,6 +57,9 @@
 /// @brief A dispatch failed before or after its first byte.
 void on_failure(circuit_breaker& target, time_point now);
 
+/// @brief The server took no connection: opens at the first such failure.
+void on_unreachable(circuit_breaker& target, time_point now);
+
 /// @brief The server gave a whole answer.
 void on_success(circuit_breaker& target);
 
--- a/src/admission/quota.cpp
+++ b/src/admission/quota.cpp
@@ -57,12 +57,13 @@
 }
 
 void resume(quota_table& target, const std::unordered_map<workspace_id, double>& used,
-            duration window, time_point now) {
+            duration window, double at_least, time_point now) {
     for (auto& [workspace, bucket] : target.buckets) {
         const auto known = used.find(workspace);
         const auto units = known == used.end() ? 0.0 : known->second;
         const auto refilled = bucket.limit.units_per_second * to_seconds(window);
-        bucket.units = std::min(bucket.limit.burst, bucket.limit.burst + refilled - units);
+        bucket.units = std::clamp(bucket.limit.burst + refilled - units,
+                                  at_least * bucket.limit.burst, bucket.limit.burst);
         bucket.updated = now;
     }
 }
--- a/src/dispatch/grant_desk.cpp
+++ b/src/dispatch/grant_desk.cpp
@@ -10,6 +10,10 @@
 /// Silence after which a holder's requests no longer count against servers. Above a short freeze
 /// or cut, so that its running requests are not forgotten while they still take slots.
 constexpr duration silent_holder = std::chrono::seconds{4};
+/// Silence after which a holder may grant for itself: it does so after about half a second.
+constexpr duration separate_holder = std::chrono::milliseconds{900};
+/// Time for which a silent holder may still be there, cut off; longer cuts are repaired by people.
+constexpr duration remembered_holder = std::chrono::seconds{20};
 /// Time for which a grant may be missing from its holder's reports: a report may have been on its
 /// way when the grant was given.
 constexpr duration missing_grant = std::chrono::milliseconds{1'500};
@@ -157,6 +161,7 @@
     const auto restarted = holder.started_as != report.started_as;
     holder.started_as = report.started_as;
     holder.heard = now;
+    target.last_heard[report.holder] = now;
     holder.used = report.used;
     std::set<std::uint64_t> open(report.waiting.begin(), report.waiting.end());
     for (const auto& item : report.running) {
@@ -198,7 +203,7 @@
             used[workspace] += units;
         }
     }
-    admission::resume(target.quotas, used, window, now);
+    admission::resume(target.quotas, used, window, 0.0, now);
 }
 
 void tick(grant_desk& target, time_point now, std::vector<decision>& out) {
@@ -218,6 +223,17 @@
     send(target, ticked{}, now, out);
 }
 
+double holder_share(grant_desk& source, time_point now) {
+    std::erase_if(source.last_heard,
+                  [&](const auto& item) { return now - item.second > remembered_holder; });
+    const auto heard =
+        std::count_if(source.last_heard.begin(), source.last_heard.end(),
+                      [&](const auto& item) { return now - item.second <= separate_holder; });
+    return source.last_heard.empty() || heard == 0
+               ? 1.0
+               : static_cast<double>(heard) / static_cast<double>(source.last_heard.size());
+}
+
 std::uint32_t holder_count(const grant_desk& source, time_point now) {
     return static_cast<std::uint32_t>(
         std::count_if(source.holders.begin(), source.holders.end(),
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -477,7 +477,8 @@
     release_slot(target, item);
     item.work.avoid.push_back(item.server);
     if (const auto server = target.servers.find(item.server); server != target.servers.end()) {
-        routing::on_failure(server->second.breaker, now);
+        // A server that takes no connection is out of reach for the next request as well.
+        routing::on_unreachable(server->second.breaker, now);
         target.ejection_checked = {}; // its share of the servers has changed
         server->second.cache.evict(item.work.blocks);
     }
--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -20,7 +20,7 @@
 constexpr auto publish_limit = std::chrono::milliseconds{3'000};
 constexpr auto read_limit = std::chrono::milliseconds{900};
 /// Time for which a new leader lets holders report what they run before it grants anything.
-constexpr duration takeover_pause = std::chrono::milliseconds{400};
+constexpr duration takeover_pause = std::chrono::milliseconds{250};
 
 http::reply plain(unsigned status, std::string body = "{}") {
     http::reply out;
@@ -129,7 +129,8 @@
     }
     const auto read = speaks_->read_catalogue(newest.content);
     newest_ = std::move(newest);
-    desk_->set_quotas(read.value, tolerance_of(settings_), 1.0);
+    catalogue_ = read.value;
+    desk_->set_quotas(catalogue_, tolerance_of(settings_), quota_share_);
     metrics_.set_revision(newest_.number.value);
 }
 
@@ -160,6 +161,18 @@
     desk_->set_servers(servers_);
 }
 
+void control_instance::share_quotas() {
+    const auto share = desk_->holder_share();
+    if (share == quota_share_) {
+        return;
+    }
+    quota_share_ = share;
+    desk_->set_quotas(catalogue_, tolerance_of(settings_), share);
+    constexpr double per_cent = 100.0;
+    telemetry::write(telemetry::log_line("quota_share")
+                         .add("per_cent", static_cast<std::int64_t>(share * per_cent)));
+}
+
 void control_instance::begin_if_due() {
     const auto due = group_.leads && servers_mark_ != 0 && now() - leads_since_ > takeover_pause;
     if (schedules_ || !due) {
@@ -188,6 +201,7 @@
     if (group_.leads) {
         desk_->reconcile(report->open);
         begin_if_due();
+        share_quotas();
     }
     control_news news;
     news.schedules = schedules();
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -27,9 +27,6 @@
 /// Pauses without an answer after which the leader counts as lost: what waits for its grants would
 /// miss its latency objective soon.
 constexpr int lost_after_pauses = 3;
-/// Part of an equal share of each quota that is granted here without a scheduler: what the others
-/// grant meanwhile is not known.
-constexpr double own_quota_share = 0.5;
 /// Age of the list of servers from which on it is read here.
 constexpr duration list_silence = std::chrono::milliseconds{1'500};
 
@@ -253,7 +250,8 @@
 void control_link::set_document(config::document_number in_force,
                                 const config::catalogue& content) {
     document_ = in_force;
-    own_desk_->set_quotas(content, {}, own_quota_share / std::max(1U, entry_instances_));
+    // An equal share, which the scheduler leaves to instances that it does not hear.
+    own_desk_->set_quotas(content, {}, 1.0 / std::max(1U, entry_instances_));
 }
 
 void control_link::set_servers(std::vector<config::server> servers) {
--- a/src/gateway/desk_service.cpp
+++ b/src/gateway/desk_service.cpp
@@ -12,6 +12,9 @@
 /// Pause between two looks at waiting requests: fine against latency objectives of some hundred
 /// milliseconds. Nothing ticks while nothing waits.
 constexpr auto waiting_tick = std::chrono::milliseconds{25};
+/// Part of each bucket that an entry instance starts with when it loses its scheduler: enough for
+/// requests that come together, and a sum over all instances that the tolerance covers.
+constexpr double own_quota_floor = 0.5;
 
 } // namespace
 
@@ -65,7 +68,7 @@
 
 void desk_service::resume_quotas(const std::unordered_map<workspace_id, double>& used,
                                  duration window) {
-    admission::resume(desk_.quotas, used, window, now());
+    admission::resume(desk_.quotas, used, window, own_quota_floor, now());
 }
 
 void desk_service::reconcile(const dispatch::holder_report& report) {
@@ -94,6 +97,10 @@
     return dispatch::holder_count(desk_, now());
 }
 
+double desk_service::holder_share() {
+    return dispatch::holder_share(desk_, now());
+}
+
 std::size_t desk_service::queued() const {
     return dispatch::queued_count(desk_.decisions);
 }
--- a/src/routing/window.cpp
+++ b/src/routing/window.cpp
@@ -92,6 +92,11 @@
     target.open_until = now + std::min(max_pause, first_pause * (1U << doublings));
 }
 
+void on_unreachable(circuit_breaker& target, time_point now) {
+    target.consecutive_failures = std::max(target.consecutive_failures, failures_to_open - 1);
+    on_failure(target, now);
+}
+
 void on_success(circuit_breaker& target) {
     target = {};
 }
