--- a/include/tarragonspar/dispatch/scheduler.hpp
+++ b/include/tarragonspar/dispatch/scheduler.hpp
@@ -89,6 +89,7 @@
     routing::length_estimator lengths;
     routing::retry_budget retries;
     time_point ejection_checked{};
+    bool ejection_stale{true}; ///< a server has failed since the last look
     bool draining{false};
 };
 
--- a/include/tarragonspar/gateway/relayed_request.hpp
+++ b/include/tarragonspar/gateway/relayed_request.hpp
@@ -58,6 +58,7 @@
     unsigned status{0}; ///< what the caller was told
 
     time_point granted{};
+    bool granted_alone{false}; ///< without a scheduler in reach
     time_point first_event{};
 
     [[nodiscard]] bool is_over() const noexcept {
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -333,9 +333,10 @@
 /// Ejects servers only while most of their service is left: when half or more fail, the fault is
 /// likely not theirs alone, and the rest could not bear the load.
 void bound_ejection(scheduler& target, time_point now) {
-    if (now - target.ejection_checked < ejection_check_interval) {
+    if (!target.ejection_stale && now - target.ejection_checked < ejection_check_interval) {
         return;
     }
+    target.ejection_stale = false;
     target.ejection_checked = now;
     struct counts {
         std::size_t all{};
@@ -479,7 +480,7 @@
     if (const auto server = target.servers.find(item.server); server != target.servers.end()) {
         // A server that takes no connection is out of reach for the next request as well.
         routing::on_unreachable(server->second.breaker, now);
-        target.ejection_checked = {}; // its share of the servers has changed
+        target.ejection_stale = true;
         server->second.cache.evict(item.work.blocks);
     }
     const auto attempts = item.failed_dispatches + 1;
@@ -581,7 +582,7 @@
             routing::on_success(server.breaker);
         } else if (what.server_fault) {
             routing::on_failure(server.breaker, now);
-            target.ejection_checked = {}; // its share of the servers has changed
+            target.ejection_stale = true;
         }
         if (what.whole && server.kind == config::server_kind::service) {
             routing::observe_decode(server.speed, {1}, now - item.started);
--- a/src/dispatch/shedding.cpp
+++ b/src/dispatch/shedding.cpp
@@ -231,15 +231,18 @@
     }
     std::vector<request_id> late;
     for (auto& [model, pool] : target.pools) {
-        for (std::uint8_t level = 0; level < tier_count; ++level) {
-            pool.queue.for_each({level}, [&](const admission::queued_item& item) {
-                const auto& work = item.work;
-                if (work.objective != time_point{} &&
-                    now > work.objective + target.options.late_patience) {
-                    late.push_back(work.id);
-                }
-            });
+        // A more urgent tier is not shed while a less urgent one is kept.
+        const auto lowest = pool.queue.lowest_tier();
+        if (!lowest) {
+            continue;
         }
+        pool.queue.for_each(*lowest, [&](const admission::queued_item& item) {
+            const auto& work = item.work;
+            if (work.objective != time_point{} &&
+                now > work.objective + target.options.late_patience) {
+                late.push_back(work.id);
+            }
+        });
     }
     for (const auto& id : late) {
         refuse_queued(target, id, reason::overloaded, now, effects);
--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -202,6 +202,7 @@
         desk_->reconcile(report->open);
         begin_if_due();
         share_quotas();
+        metrics_.set_queued(desk_->queued());
     }
     control_news news;
     news.schedules = schedules();
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -252,6 +252,7 @@
     }
     request->running_at = *given;
     request->granted = now();
+    request->granted_alone = !link_->has_leader();
     co_return true;
 }
 
@@ -531,6 +532,9 @@
                         : request.timed_out ? "timed_out"
                                             : "none")
             .add("server", request.running_at ? request.running_at->server_name : "none")
+            .add("granted_by", request.granted == time_point{} ? "none"
+                               : request.granted_alone         ? "own"
+                                                               : "leader")
             .add("attempts", request.attempts)
             .add("unreachable", request.unreachable)
             .add("wait_ms", since_arrival(request.granted))
--- a/tests/unit-grant_desk.cpp
+++ b/tests/unit-grant_desk.cpp
@@ -215,6 +215,26 @@
     EXPECT_EQ(f.refused.at(2).why, reason::overloaded);
 }
 
+TEST(GrantDesk, AMoreUrgentTierIsNotGivenUpWhileALessUrgentOneIsKept) {
+    fixture f({make_server(1)});
+    f.ask(f.make(1, 0));
+    auto urgent = f.make(2, 0);
+    urgent.objective = f.now + milliseconds{100};
+    urgent.max_output = {5};
+    auto low = f.make(3, 2);
+    low.objective = f.now + std::chrono::seconds{5};
+    low.max_output = {5};
+    f.ask(urgent);
+    f.ask(low);
+    f.now += std::chrono::seconds{2};
+    std::vector<decision> made;
+    tick(f.desk, f.now, made);
+    f.take(made);
+    EXPECT_TRUE(f.refused.empty());
+    f.tell(1, grant_news::what::done);
+    EXPECT_TRUE(f.granted.contains(2));
+}
+
 TEST(GrantDesk, NothingIsTurnedAwayForSpeedsThatWereNeverSeen) {
     fixture f({make_server(1)});
     auto work = f.make(1, 0);
