Entry instances that grant for themselves spread over servers; slots follow the list

Change: an entry's own choice is spread by up to twice the predicted time; exact slots replace the window at each list; a server's slots are shared as if six entry instances used them at once. Ruled out: one slot a server and instance at six instances, which starves a failure domain that is cut off with three servers.

--- a/include/tarragonspar/dispatch/scheduler.hpp
+++ b/include/tarragonspar/dispatch/scheduler.hpp
@@ -31,6 +31,9 @@
     double return_share{0.0};
     duration min_retry_after{std::chrono::seconds{1}};
     duration max_retry_after{std::chrono::seconds{60}};
+    /// Part by which a predicted time may be raised at random in the choice of a server; for desks
+    /// beside others, which would all choose the one that is fastest for all.
+    double choice_noise{0.0};
     bool transfer_to_peers{true};
     duration transfer_wait{std::chrono::milliseconds{150}}; ///< expected wait worth a transfer
 };
--- a/include/tarragonspar/gateway/desk_service.hpp
+++ b/include/tarragonspar/gateway/desk_service.hpp
@@ -19,7 +19,8 @@
 public:
     using reply = std::function<void(dispatch::verdict)>;
 
-    explicit desk_service(boost::asio::io_context& context);
+    /// @param choice_noise  see `dispatch::scheduler_options`
+    explicit desk_service(boost::asio::io_context& context, double choice_noise = 0.0);
 
     void set_servers(const std::vector<config::server>& servers);
     /// @param share  part of each quota that this desk may hand out
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -195,6 +195,16 @@
     });
 }
 
+/// Factor that makes desks which know nothing of each other choose different servers.
+double choice_factor(const scheduler& source, const work_item& work, server_id server) {
+    if (source.options.choice_noise <= 0.0) {
+        return 1.0;
+    }
+    const auto draw = hash_pair(hash_pair(work.id.issued_in.value, work.id.sequence), server.value);
+    constexpr double range = 4294967296.0;
+    return 1.0 + source.options.choice_noise * static_cast<double>(draw >> 32U) / range;
+}
+
 /// The server with room that would finish a request first; null too when a full one with more of
 /// the prompt in its cache would still finish sooner.
 routing::server_model* best_server(scheduler& target, const work_item& work, time_point now,
@@ -203,6 +213,7 @@
     const auto left = work.deadline - now;
     const auto service = target.pools.at(work.model).service_seconds;
     routing::server_model* chosen = nullptr;
+    double best_cost = 0.0;
     std::optional<duration> best_after_wait;
     for (auto& [id, server] : target.servers) {
         if (!routing::offers(server, work.model) ||
@@ -227,9 +238,11 @@
             some_server_finishes(target, work, output, left, now)) {
             continue; // waits for a faster server rather than run out of time on a slow one
         }
-        if (chosen == nullptr || predicted.finish < best.finish) {
+        const auto cost = to_seconds(predicted.finish) * choice_factor(target, work, id);
+        if (chosen == nullptr || cost < best_cost) {
             chosen = &server;
             best = predicted;
+            best_cost = cost;
         }
     }
     if (chosen == nullptr || (best_after_wait && *best_after_wait < best.finish)) {
@@ -630,6 +643,9 @@
             kept.state = model.state;
             kept.offers = std::move(model.offers);
             kept.hardware_class = std::move(model.hardware_class);
+            if (description.slots_are_exact) {
+                kept.in_flight_window = model.in_flight_window;
+            }
             model = std::move(kept);
         }
         next.emplace(description.id, std::move(model));
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -27,6 +27,12 @@
 /// Pauses without an answer after which the leader counts as lost: what waits for its grants would
 /// miss its latency objective soon.
 constexpr int lost_after_pauses = 3;
+/// Other entry instances choose at the same time without a word; twice the predicted time spreads
+/// them over servers that differ by less than that.
+constexpr double own_choice_noise = 1.0;
+/// Entry instances that may each use all slots of a server while they grant for themselves: in a
+/// cut only some reach the same servers, and a lost leader is replaced within a second.
+constexpr std::uint32_t instances_at_full_slots = 6;
 /// Age of the list of servers from which on it is read here.
 constexpr duration list_silence = std::chrono::milliseconds{1'500};
 
@@ -36,7 +42,7 @@
                            std::vector<instance_id> contacts, duration quota_window, hooks uses)
     : context_(context), self_(self), node_(node), quota_window_(quota_window),
       uses_(std::move(uses)), timer_(context), contacts_(std::move(contacts)), list_heard_(now()),
-      own_desk_(std::make_shared<desk_service>(context)) {
+      own_desk_(std::make_shared<desk_service>(context, own_choice_noise)) {
     next_contact_ = contacts_.empty() ? 0 : self_.value % contacts_.size();
 }
 
@@ -269,8 +275,9 @@
 void control_link::share_servers() {
     auto shared = servers_;
     for (auto& server : shared) {
-        // Every entry instance may use this share at once without overrunning the server.
-        server.slots = std::max(1U, server.slots / std::max(1U, entry_instances_));
+        const auto sharing = std::max(1U, entry_instances_);
+        server.slots = std::clamp(server.slots * instances_at_full_slots / sharing, 1U,
+                                  std::max(1U, server.slots));
     }
     own_desk_->set_servers(shared);
 }
--- a/src/gateway/desk_service.cpp
+++ b/src/gateway/desk_service.cpp
@@ -18,7 +18,10 @@
 
 } // namespace
 
-desk_service::desk_service(boost::asio::io_context& context) : timer_(context) {}
+desk_service::desk_service(boost::asio::io_context& context, double choice_noise)
+    : timer_(context) {
+    desk_.decisions.options.choice_noise = choice_noise;
+}
 
 void desk_service::set_servers(const std::vector<config::server>& servers) {
     std::vector<dispatch::decision> made;
@@ -88,6 +91,7 @@
     }
     asking_.clear();
     dispatch::grant_desk fresh;
+    fresh.decisions.options = desk_.decisions.options;
     fresh.quotas = std::move(desk_.quotas);
     desk_ = std::move(fresh);
     return left;
--- a/tests/unit-grant_desk.cpp
+++ b/tests/unit-grant_desk.cpp
@@ -235,6 +235,38 @@
     EXPECT_TRUE(f.granted.contains(2));
 }
 
+// Without a scheduler many entry instances choose at once; they must not all choose one server.
+TEST(GrantDesk, DesksThatKnowNothingOfEachOtherSpread) {
+    std::map<server_id, int> chosen;
+    constexpr std::uint64_t desks = 60;
+    for (std::uint64_t i = 1; i <= desks; ++i) {
+        std::vector<config::server> servers;
+        for (std::uint32_t id = 1; id <= 12; ++id) {
+            servers.push_back(make_server(id, 4));
+        }
+        fixture f(servers);
+        f.desk.decisions.options.choice_noise = 1.0;
+        auto work = f.make(1, 0);
+        work.id.issued_in = {i};
+        f.ask(work);
+        ++chosen[f.granted.at(1).server];
+    }
+    for (const auto& [id, count] : chosen) {
+        EXPECT_LE(count, 15) << "server " << id.value;
+    }
+    EXPECT_GE(chosen.size(), 10U);
+}
+
+TEST(GrantDesk, AKnownServerTakesOverANewNumberOfSlots) {
+    fixture f({make_server(1, 4)});
+    std::vector<decision> made;
+    set_servers(f.desk, {make_server(1, 1)}, f.now, made);
+    f.ask(f.make(1, 0));
+    f.ask(f.make(2, 0));
+    EXPECT_TRUE(f.granted.contains(1));
+    EXPECT_FALSE(f.granted.contains(2));
+}
+
 TEST(GrantDesk, NothingIsTurnedAwayForSpeedsThatWereNeverSeen) {
     fixture f({make_server(1)});
     auto work = f.make(1, 0);
