--- a/include/tarragonspar/admission/tier_queue.hpp
+++ b/include/tarragonspar/admission/tier_queue.hpp
@@ -110,7 +110,7 @@
     struct level_lanes {
         std::unordered_map<workspace_id, lane> lanes;
         std::set<std::pair<double, workspace_id>> backlogged;
-        std::set<deadline_key> order;
+        std::map<deadline_key, const queued_item*> order; ///< points into `items_`
         double virtual_now{};
         double work_seconds{};
     };
@@ -128,7 +128,7 @@
 
     queue_options options_;
     std::unordered_map<request_id, queued_item> items_;
-    std::set<deadline_key> deadlines_;
+    std::map<deadline_key, const queued_item*> deadlines_;
     std::array<level_lanes, std::size_t{tier_count} * rank_count> levels_; ///< by tier, then rank
 };
 
--- a/include/tarragonspar/dispatch/grant_desk.hpp
+++ b/include/tarragonspar/dispatch/grant_desk.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -78,6 +79,7 @@
         time_point heard{};
         std::unordered_map<workspace_id, double> used;
         std::map<std::uint64_t, time_point> missing; ///< granted, but not reported since then
+        std::set<std::uint64_t> reported;            ///< open by the last report
     };
     scheduler decisions{.options = desk_options()};
     std::map<server_id, config::server> servers;
@@ -111,8 +113,8 @@
 /// @brief Time has passed: looks for deadlines that can't be met and holders that went silent.
 void tick(grant_desk& target, time_point now, std::vector<decision>& out);
 
-/// @brief Holders heard of lately.
-[[nodiscard]] std::uint32_t holder_count(const grant_desk& source, time_point now);
+/// @brief Holders heard of lately, in the order of their ids.
+[[nodiscard]] std::vector<instance_id> heard_holders(const grant_desk& source, time_point now);
 
 /// @brief Part of the holders of the past minute that are heard now. The others may be cut off, and
 /// grant their share of the quotas themselves.
--- a/include/tarragonspar/dispatch/scheduler.hpp
+++ b/include/tarragonspar/dispatch/scheduler.hpp
@@ -82,8 +82,8 @@
     scheduler_options options;
     std::map<server_id, routing::server_model> servers;
     std::map<model_id, model_pool> pools;
-    std::unordered_map<request_id, running_item> running;
-    std::unordered_map<request_id, model_id> queued_model;
+    std::map<request_id, running_item> running; ///< ordered, so that an issuer's can be listed
+    std::map<request_id, model_id> queued_model;
     std::unordered_map<workspace_id, std::uint32_t> in_system;
     std::unordered_map<workspace_id, std::uint32_t> limits;
     std::map<instance_id, peer_state> peers;
@@ -92,8 +92,10 @@
     routing::length_estimator lengths;
     routing::retry_budget retries;
     time_point ejection_checked{};
+    time_point shed_checked{};
     bool ejection_stale{true}; ///< a server has failed since the last look
     bool draining{false};
+    std::uint64_t placements_tried{}; ///< looks at all servers for one waiting request
 };
 
 /// @brief Applies an event and appends what is to be done to `effects`.
--- a/include/tarragonspar/gateway/desk_service.hpp
+++ b/include/tarragonspar/gateway/desk_service.hpp
@@ -41,7 +41,7 @@
     [[nodiscard]] bool has_servers() const {
         return !desk_.servers.empty();
     }
-    [[nodiscard]] std::uint32_t holders() const;
+    [[nodiscard]] std::vector<instance_id> holders() const;
     /// @brief Part of the entry instances that are heard now.
     [[nodiscard]] double holder_share();
     [[nodiscard]] std::size_t queued() const;
--- a/include/tarragonspar/routing/prefix_index.hpp
+++ b/include/tarragonspar/routing/prefix_index.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <bitset>
 #include <cstddef>
 #include <cstdint>
 #include <list>
@@ -15,7 +17,8 @@
 ///
 /// Fed by own dispatches and by the server's cache events, which come late and with gaps. A gap
 /// makes all that was known before it doubtful; a doubtful block counts again once a dispatch or an
-/// event confirms it, and an answer's own count of cached tokens overrules the belief.
+/// event confirms it, and an answer's own count of cached tokens overrules the belief. Not to be
+/// used by two threads at a time, not even for reading.
 class prefix_index {
 public:
     /// @param capacity  blocks remembered; the least recently used ones are dropped beyond it
@@ -31,7 +34,7 @@
     void evict(std::span<const block_hash> blocks);
 
     /// @brief Blocks at the start of a prompt that the server is believed to hold.
-    /// @par Complexity  linear in the matched blocks
+    /// @par Complexity  logarithmic in the blocks; linear once cache events were seen
     [[nodiscard]] std::size_t match(std::span<const block_hash> blocks) const;
 
     /// @brief Corrects the belief by what an answer said.
@@ -62,7 +65,17 @@
         std::uint64_t generation{};
     };
 
+    struct remembered_match {
+        block_hash last;
+        std::uint64_t version{};
+        std::size_t matched{};
+    };
+
     void touch(block_hash block);
+    void remember_start(block_hash first);
+    [[nodiscard]] bool may_start_with(block_hash first) const;
+    [[nodiscard]] bool holds(block_hash block) const;
+    [[nodiscard]] std::size_t count_held(std::span<const block_hash> blocks) const;
 
     void shrink_to_capacity(std::vector<block_hash>* dropped);
 
@@ -72,6 +85,17 @@
     std::list<block_hash> recency_;
     std::uint64_t generation_{};
     std::uint64_t last_event_{};
+    bool may_have_holes_{false}; ///< blocks were taken out of the middle of chains
+    /// Matches of the prompts that wait and are looked at again and again, each in the place that
+    /// its last block gives; that block stands for the whole chain.
+    mutable std::array<remembered_match, 64> matches_;
+    std::uint64_t version_{1}; ///< number of the last change
+    /// Beginnings of the prompts inserted lately, in two generations: most questions are about
+    /// prompts that this server never saw, and this answers them without the table.
+    using start_filter = std::bitset<2048>;
+    start_filter recent_starts_;
+    start_filter older_starts_;
+    std::size_t new_entries_{}; ///< since the generation began
 };
 
 } // namespace tarragonspar::routing
--- a/src/admission/tier_queue.cpp
+++ b/src/admission/tier_queue.cpp
@@ -28,11 +28,11 @@
         own.virtual_time = std::max(own.virtual_time, lanes.virtual_now);
         lanes.backlogged.emplace(own.virtual_time, item.work.workspace);
     }
+    const auto& kept = items_.emplace(item.work.id, item).first->second;
     own.order.insert(key);
-    lanes.order.insert(key);
+    lanes.order.emplace(key, &kept);
     lanes.work_seconds += item.cost_seconds;
-    deadlines_.emplace(item.work.deadline, item.work.id);
-    items_.emplace(item.work.id, item);
+    deadlines_.emplace(deadline_key{item.work.deadline, item.work.id}, &kept);
 }
 
 void tier_queue::unlink(const queued_item& item) {
@@ -135,7 +135,7 @@
     auto from = on_time ? first_on_time : lanes.order.begin();
     const auto to = on_time ? lanes.order.end() : first_on_time;
     for (; from != to && out.size() < limit; ++from) {
-        const auto& item = items_.at(from->second);
+        const auto& item = *from->second;
         if (lanes.lanes.at(item.work.workspace).virtual_time <= last) {
             out.push_back(&item);
         }
@@ -157,7 +157,7 @@
 
 const queued_item* tier_queue::newest_of_lowest_tier() const {
     const auto* lowest = lowest_level();
-    return lowest == nullptr ? nullptr : &items_.at(lowest->order.rbegin()->second);
+    return lowest == nullptr ? nullptr : lowest->order.rbegin()->second;
 }
 
 const queued_item* tier_queue::find(const request_id& id) const {
@@ -186,23 +186,22 @@
         return nullptr;
     }
     const queued_item* worst = nullptr;
-    for (const auto& [due_at, id] : lowest->order) {
-        const auto& item = items_.at(id);
-        if (worst == nullptr || less_worthy(item, *worst)) {
-            worst = &item;
+    for (const auto& [key, item] : lowest->order) {
+        if (worst == nullptr || less_worthy(*item, *worst)) {
+            worst = item;
         }
     }
     return worst;
 }
 
 const queued_item* tier_queue::earliest_deadline() const {
-    return deadlines_.empty() ? nullptr : &items_.at(deadlines_.begin()->second);
+    return deadlines_.empty() ? nullptr : deadlines_.begin()->second;
 }
 
 void tier_queue::for_each(tier which, const std::function<void(const queued_item&)>& visit) const {
     for (std::size_t rank = 0; rank < rank_count; ++rank) {
-        for (const auto& [due_at, id] : levels_.at(first_level(which) + rank).order) {
-            visit(items_.at(id));
+        for (const auto& [key, item] : levels_.at(first_level(which) + rank).order) {
+            visit(*item);
         }
     }
 }
--- a/src/dispatch/grant_desk.cpp
+++ b/src/dispatch/grant_desk.cpp
@@ -1,6 +1,7 @@
 #include "tarragonspar/dispatch/grant_desk.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <set>
 
 namespace tarragonspar::dispatch {
@@ -51,21 +52,20 @@
     }
 }
 
-/// Requests of a holder, running and waiting, that `wanted` picks.
-std::vector<request_id> pick(const grant_desk& source,
-                             const std::function<bool(const request_id&, bool running)>& wanted) {
-    std::vector<request_id> ids;
-    for (const auto& [id, item] : source.decisions.running) {
-        if (wanted(id, true)) {
-            ids.push_back(id);
-        }
-    }
-    for (const auto& [id, model] : source.decisions.queued_model) {
-        if (wanted(id, false)) {
-            ids.push_back(id);
-        }
+/// Appends a holder's requests in a map that is ordered by ids.
+template <class Map>
+void append_of(const Map& requests, instance_id holder, std::vector<request_id>& out) {
+    auto at = requests.lower_bound(request_id{.issuer = holder});
+    for (; at != requests.end() && at->first.issuer == holder; ++at) {
+        out.push_back(at->first);
     }
-    std::sort(ids.begin(), ids.end());
+}
+
+/// Requests of a holder, running and waiting.
+std::vector<request_id> requests_of(const grant_desk& source, instance_id holder) {
+    std::vector<request_id> ids;
+    append_of(source.decisions.running, holder, ids);
+    append_of(source.decisions.queued_model, holder, ids);
     return ids;
 }
 
@@ -169,18 +169,19 @@
     }
     if (restarted) {
         holder.missing.clear();
+        holder.reported.clear();
     }
     std::map<std::uint64_t, time_point> missing;
-    const auto lost = pick(target, [&](const request_id& id, bool) {
-        if (id.issuer != report.holder) {
-            return false;
-        }
+    const auto is_over = [&](const request_id& id) {
         if (id.issued_in != report.started_as) {
             return true;
         }
         if (open.contains(id.sequence)) {
             return false;
         }
+        if (holder.reported.contains(id.sequence)) {
+            return true; // its end was told to nobody, while no leader was known
+        }
         const auto known = holder.missing.find(id.sequence);
         const auto since = known == holder.missing.end() ? now : known->second;
         if (now - since > missing_grant) {
@@ -188,8 +189,11 @@
         }
         missing.emplace(id.sequence, since);
         return false;
-    });
+    };
+    auto lost = requests_of(target, report.holder);
+    std::erase_if(lost, std::not_fn(is_over));
     holder.missing = std::move(missing);
+    holder.reported = std::move(open);
     forget(target, lost, now, out);
     for (const auto& item : report.running) {
         send(target, adopted{.work = item.work, .server = item.server}, now, out);
@@ -207,18 +211,15 @@
 }
 
 void tick(grant_desk& target, time_point now, std::vector<decision>& out) {
-    std::set<instance_id> silent;
+    std::vector<instance_id> silent;
     for (const auto& [id, holder] : target.holders) {
         if (now - holder.heard > silent_holder) {
-            silent.insert(id);
+            silent.push_back(id);
         }
     }
-    if (!silent.empty()) {
-        forget(target,
-               pick(target, [&](const request_id& id, bool) { return silent.contains(id.issuer); }),
-               now, out);
-        std::erase_if(target.holders,
-                      [&](const auto& item) { return silent.contains(item.first); });
+    for (const auto id : silent) {
+        target.holders.erase(id);
+        forget(target, requests_of(target, id), now, out);
     }
     send(target, ticked{}, now, out);
 }
@@ -234,10 +235,14 @@
                : static_cast<double>(heard) / static_cast<double>(source.last_heard.size());
 }
 
-std::uint32_t holder_count(const grant_desk& source, time_point now) {
-    return static_cast<std::uint32_t>(
-        std::count_if(source.holders.begin(), source.holders.end(),
-                      [&](const auto& item) { return now - item.second.heard <= silent_holder; }));
+std::vector<instance_id> heard_holders(const grant_desk& source, time_point now) {
+    std::vector<instance_id> heard;
+    for (const auto& [id, holder] : source.holders) {
+        if (now - holder.heard <= silent_holder) {
+            heard.push_back(id);
+        }
+    }
+    return heard;
 }
 
 } // namespace tarragonspar::dispatch
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -26,6 +26,9 @@
 
 /// Pause between two looks at how many servers are ejected: short against their pauses.
 constexpr duration ejection_check_interval = std::chrono::milliseconds{20};
+/// Pause between two looks, on arrivals, at who can't be answered in time: each is linear in the
+/// queue, and some milliseconds count as at once.
+constexpr duration shed_interval = std::chrono::milliseconds{20};
 
 /// Dispatch attempts of one request that may fail before the first byte.
 constexpr int max_failed_dispatches = 3;
@@ -294,18 +297,49 @@
     effects.emplace_back(start_dispatch{.id = item.work.id, .server = server.id});
 }
 
+/// What has changed since all that waits was last looked at. With ninety servers and a long queue,
+/// looking at all of it after each change took most of a core.
+struct change {
+    const request_id* newcomer{nullptr};          ///< only this request is new
+    const routing::server_model* server{nullptr}; ///< only this server has room that it had not
+    std::optional<block_hash> prefix;             ///< only this prefix has become ready
+};
+
+/// Whether a waiting request could go to the one server that has changed. What would be late there
+/// is looked at with the next tick, among all servers.
+bool may_take(const scheduler& source, const routing::server_model& server, const work_item& work,
+              time_point now) {
+    if (!routing::offers(server, work.model) || !routing::has_room(server, now)) {
+        return false;
+    }
+    const auto predicted = routing::predict(server, work, predicted_output(source, work));
+    return work.objective == time_point{} || now > work.objective ||
+           now + predicted.first_token <= work.objective;
+}
+
 /// Dispatches the best waiting request of one model if a server has room for it.
-bool dispatch_one(scheduler& target, model_id model, time_point now, std::vector<effect>& effects) {
+bool dispatch_one(scheduler& target, model_id model, time_point now, std::vector<effect>& effects,
+                  const change& since) {
     auto& pool = target.pools.at(model);
     const auto allowed = dispatchable(target, pool, model, now);
     if (!allowed) {
         return false;
     }
     for (const auto* candidate : pool.queue.candidates(*allowed, max_lookahead, now)) {
+        if (since.newcomer != nullptr && candidate->work.id != *since.newcomer) {
+            continue;
+        }
+        if (since.prefix && prefix_root(candidate->work) != since.prefix) {
+            continue;
+        }
+        if (since.server != nullptr && !may_take(target, *since.server, candidate->work, now)) {
+            continue;
+        }
         if (prefix_is_underway(target, candidate->work)) {
             continue;
         }
         routing::prediction predicted;
+        ++target.placements_tried;
         auto* server = best_server(target, candidate->work, now, predicted);
         if (server == nullptr) {
             continue;
@@ -375,12 +409,13 @@
     }
 }
 
-void dispatch_ready(scheduler& target, time_point now, std::vector<effect>& effects) {
+void dispatch_ready(scheduler& target, time_point now, std::vector<effect>& effects,
+                    const change& since = {}) {
     bound_ejection(target, now);
     detail::expire(target, now, effects);
     std::vector<model_id> exhausted;
     while (const auto model = most_urgent_model(target, exhausted, now)) {
-        if (!dispatch_one(target, *model, now, effects)) {
+        if (!dispatch_one(target, *model, now, effects, since)) {
             exhausted.push_back(*model);
         }
     }
@@ -464,13 +499,14 @@
         detail::drain_queue(target, now, effects);
         return;
     }
-    dispatch_ready(target, now, effects);
+    dispatch_ready(target, now, effects, {.newcomer = &work.id});
     enforce_bound(target, now, effects);
     if (target.queued_model.contains(work.id)) {
         detail::bound_wait(target, work.model, now, effects);
     }
-    if (target.queued_model.contains(work.id)) {
+    if (target.queued_model.contains(work.id) && now - target.shed_checked >= shed_interval) {
         detail::shed_infeasible(target, now, effects);
+        target.shed_checked = now;
     }
 }
 
@@ -535,9 +571,18 @@
     if (found == target.running.end() || found->second.has_first_token) {
         return;
     }
+    const auto ready_prefix =
+        found->second.holds_prefix ? prefix_root(found->second.work) : std::nullopt;
     forget_underway(target, found->second);
     learn_from_first_token(target, found->second, what, now);
-    dispatch_ready(target, now, effects);
+    // Nothing can go to a full server, but what waited for its prefix may go to any.
+    const auto at = target.servers.find(found->second.server);
+    if (ready_prefix) {
+        dispatch_ready(target, now, effects, {.prefix = ready_prefix});
+    }
+    if (at != target.servers.end() && routing::has_room(at->second, now)) {
+        dispatch_ready(target, now, effects, {.server = &at->second});
+    }
 }
 
 void learn_from_first_token(scheduler& target, running_item& item, const first_token& what,
@@ -610,7 +655,8 @@
         at->second.kind == config::server_kind::engine) {
         target.lengths.observe(item.work.profile, item.work.workspace, what.generated);
     }
-    dispatch_ready(target, now, effects);
+    dispatch_ready(target, now, effects,
+                   {.server = at == target.servers.end() ? nullptr : &at->second});
 }
 
 void handle(scheduler& target, const reported& what, time_point now, std::vector<effect>&) {
--- a/src/gateway/desk_service.cpp
+++ b/src/gateway/desk_service.cpp
@@ -97,8 +97,8 @@
     return left;
 }
 
-std::uint32_t desk_service::holders() const {
-    return dispatch::holder_count(desk_, now());
+std::vector<instance_id> desk_service::holders() const {
+    return dispatch::heard_holders(desk_, now());
 }
 
 double desk_service::holder_share() {
--- a/tests/desk_replay.hpp
+++ b/tests/desk_replay.hpp
@@ -21,6 +21,8 @@
     double length{14.0}; ///< seconds of arrivals
     bool objectives{true};
     double max_wait_seconds{2.0};
+    std::uint32_t engines{12};
+    std::uint32_t sessions{0}; ///< that prompts belong to; 0: no prompt shares anything
 };
 
 struct tier_result {
@@ -39,8 +41,7 @@
     explicit desk_replay(const replay_options& options) : options_(options), random_(options.seed) {
         desk_.decisions.options.max_wait_seconds = options.max_wait_seconds;
         std::vector<config::server> servers;
-        constexpr std::uint32_t engines = 12;
-        for (std::uint32_t i = 1; i <= engines; ++i) {
+        for (std::uint32_t i = 1; i <= options.engines; ++i) {
             servers.push_back({.id = {i},
                                .name = "e" + std::to_string(i),
                                .address = "10.0.0.1:1",
@@ -68,6 +69,12 @@
         return results_;
     }
 
+    /// @brief Looks at all servers for one request, per request asked about.
+    [[nodiscard]] double placements_per_request() const {
+        return static_cast<double>(desk_.decisions.placements_tried) /
+               static_cast<double>(requests_.size());
+    }
+
 private:
     enum class kind : std::uint8_t { arrival, first_token, end, tick };
     struct event {
@@ -114,6 +121,12 @@
                            1};
             made.output = mean_output[tier_number] * spread(random_) + 1.0;
             work.max_output = {static_cast<std::uint32_t>(made.output) + 1};
+            if (options_.sessions > 0) {
+                const auto session = random_() % options_.sessions + 1;
+                for (std::uint32_t block = 0; block < work.prompt.value / block_tokens; ++block) {
+                    work.blocks.push_back({hash_pair(session, block)});
+                }
+            }
             objectives_[work.id.sequence] =
                 work.arrival + std::chrono::milliseconds{objective_ms[tier_number]};
             events_.push({work.arrival, kind::arrival, work.id.sequence});
--- a/tests/unit-grant_desk.cpp
+++ b/tests/unit-grant_desk.cpp
@@ -142,6 +142,20 @@
     EXPECT_TRUE(f.granted.contains(1));
 }
 
+// While a new leader is not known yet, nobody tells it that a request has ended; what one report
+// names and the next one doesn't is over. Waiting longer left most slots of a service empty for
+// seconds after each change of leaders.
+TEST(GrantDesk, WhatTheNextReportLacksIsOver) {
+    fixture f({make_server(1)});
+    const auto running = f.make(1, 0, 7);
+    f.report({.holder = {7}, .started_as = {5}, .running = {{.work = running, .server = {1}}}});
+    f.ask(f.make(2, 0, 8));
+    EXPECT_TRUE(f.granted.empty()) << "the server's one slot is taken";
+    f.now += milliseconds{100};
+    f.report({.holder = {7}, .started_as = {5}});
+    EXPECT_EQ(f.granted.count(2), 1U);
+}
+
 TEST(GrantDesk, ASilentHolderFreesItsSlots) {
     fixture f({make_server(1)});
     f.report({.holder = {2}, .started_as = {5}});
@@ -340,6 +354,23 @@
     EXPECT_GE(better, 4) << "more answers within their objective in at least four of five bursts";
 }
 
+// A control instance of the larger sites has 0.3 cores for a thousand requests a second. A look at
+// ninety servers for one request takes some ten microseconds; eight of them a request are a third
+// of those cores.
+TEST(GrantDeskReplay, ABurstOverManyServersIsDecidedWithFewLooks) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        desk_replay replay({.seed = seed,
+                            .requests_per_second = 420.0,
+                            .burst_factor = 2.0,
+                            .max_wait_seconds = 1.2,
+                            .engines = 90,
+                            .sessions = 500});
+        auto result = replay.run();
+        EXPECT_LE(replay.placements_per_request(), 8.0) << "seed " << seed;
+        EXPECT_GE(result[0].share(), 0.95) << "seed " << seed;
+    }
+}
+
 TEST(GrantDeskReplay, EverybodyIsServedInTimeAtTheUsualLoad) {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
         auto result =
--- a/tests/unit-prefix_index.cpp
+++ b/tests/unit-prefix_index.cpp
@@ -99,16 +99,23 @@
         const auto blocks =
             chain(*rc::gen::inRange<std::uint64_t>(0, 8), *rc::gen::inRange<std::size_t>(1, 30));
         if (*rc::gen::inRange(0, 5) == 0) {
-            index.evict(blocks);
-            for (const auto block : blocks) {
+            // Sometimes out of the middle of a chain.
+            const auto from = *rc::gen::inRange<std::size_t>(0, blocks.size());
+            const auto evicted = std::span(blocks).subspan(from);
+            index.evict(evicted);
+            for (const auto block : evicted) {
                 naive.order.remove(block);
             }
         } else {
             index.insert(blocks);
             naive.insert(blocks);
         }
-        const auto asked = chain(*rc::gen::inRange<std::uint64_t>(0, 8), 30);
-        RC_ASSERT(index.match(asked) == naive.match(asked));
+        for (std::uint64_t document = 0; document < 8; ++document) {
+            // Twice, since matches are remembered until the next change.
+            const auto asked = chain(document, 30);
+            RC_ASSERT(index.match(asked) == naive.match(asked));
+            RC_ASSERT(index.match(asked) == naive.match(asked));
+        }
         RC_ASSERT(index.size() <= capacity);
     }
 }
