The list of servers is read at a pace, and shared between entry instances without a leader

Cause: without a leader each entry instance read the list once a second; sixty of them with two pages take 120 calls a second where the platform takes 50, so all were refused, the new leader too. A restarted entry instance learned nothing while no control instance ran.

Change: `deployment.server_list_rate` (from the platform's settings); reads of all instances together keep to half of it, and begin at a random moment. Entry instances learn of some others from the control group, ask one of them while they hear no leader, and take a catalogue, a younger list of servers and the leader from it. Lists carry their age; an older one is not taken.

--- a/include/tarragonspar/gateway/control_instance.hpp
+++ b/include/tarragonspar/gateway/control_instance.hpp
@@ -77,6 +77,8 @@
     double quota_share_{1.0};
     std::vector<config::server> servers_;
     std::uint64_t servers_mark_{};
+    time_point servers_read_{};
+    std::mt19937_64 random_;
     bool leaving_{false};
 };
 
--- a/include/tarragonspar/gateway/control_link.hpp
+++ b/include/tarragonspar/gateway/control_link.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -47,8 +48,13 @@
     /// @brief Tells what became of a request.
     void note(const dispatch::grant_news& news);
 
-    void set_document(config::document_number in_force, const config::catalogue& content);
-    void set_servers(std::vector<config::server> servers);
+    void set_document(const config::document& in_force, const config::catalogue& content);
+    /// @brief A list of servers that was read from the platform `age` ago.
+    void set_servers(std::vector<config::server> servers, duration age);
+
+    /// @brief Answers another entry instance that hears no leader.
+    [[nodiscard]] std::optional<control_news> answer_peer(instance_id from,
+                                                          const std::string& report);
 
     /// @brief Whether some list of servers is known.
     [[nodiscard]] bool has_servers() const noexcept {
@@ -69,6 +75,10 @@
     };
 
     void report();
+    void ask_peer();
+    void learn_peer(instance_id peer);
+    void on_peer_news(const control_news& news);
+    void take_news(const control_news& news);
     void share_servers();
     void on_news(instance_id from, std::optional<wire::answer> answer);
     void set_scheduler(std::optional<instance_id> scheduler);
@@ -93,9 +103,11 @@
     std::optional<instance_id> target_;
     std::optional<instance_id> scheduler_;
     time_point scheduler_heard_{};
-    time_point list_heard_{};
+    time_point list_read_; ///< when the known list of servers was read from the platform
     std::uint32_t entry_instances_{1};
-    config::document_number document_;
+    std::vector<instance_id> peers_;
+    std::mt19937_64 random_;
+    config::document document_;
     std::uint64_t servers_mark_{};
     std::vector<config::server> servers_;
     std::shared_ptr<desk_service> own_desk_;
--- a/include/tarragonspar/gateway/entry_instance.hpp
+++ b/include/tarragonspar/gateway/entry_instance.hpp
@@ -96,6 +96,7 @@
     std::atomic<std::size_t> open_count_{0};
     // Below: used on the context's thread only.
     std::shared_ptr<const config::catalogue_index> catalogue_;
+    config::document document_; ///< what `catalogue_` was read from
     std::unordered_map<std::uint64_t, request_ptr> open_;
     std::uint64_t next_sequence_{0};
     admission::retry_allowance repeats_;
--- a/include/tarragonspar/gateway/reports.hpp
+++ b/include/tarragonspar/gateway/reports.hpp
@@ -9,11 +9,13 @@
 
 namespace tarragonspar::gateway {
 
-/// @brief What an entry instance tells a control instance several times a second.
+/// @brief What an entry instance tells a control instance several times a second, and, while it
+/// hears no leader, other entry instances, without its requests.
 struct entry_report {
     dispatch::holder_report open;
     config::document_number document; ///< in force at the entry instance
     std::uint64_t servers_mark{};     ///< of the list of servers that it knows
+    duration servers_age{};           ///< since that list was read from the platform
 };
 
 /// @brief What it is told in return.
@@ -25,6 +27,8 @@
     std::optional<config::document> document; ///< if newer than the reported one
     std::uint64_t servers_mark{};
     std::optional<std::vector<config::server>> servers; ///< if the mark differs
+    duration servers_age{};                             ///< since the list was read
+    std::vector<instance_id> peers; ///< some entry instances, to be asked without a leader
 };
 
 /// @brief A wish for a grant.
--- a/include/tarragonspar/gateway/server_directory.hpp
+++ b/include/tarragonspar/gateway/server_directory.hpp
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <random>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -22,8 +23,17 @@
     std::chrono::milliseconds backoff{1'000};
     std::chrono::milliseconds call_timeout{1'000};
     std::size_t max_pages{200};
+    /// Calls a second that the platform takes from all instances together; 0: any number.
+    double calls_per_second{0.0};
 };
 
+/// @brief Pause between two reads that keeps all readers together within the platform's rate.
+/// @param pages    calls that one read takes
+/// @param readers  instances that may read at the same time
+/// @return the options' interval, or longer
+[[nodiscard]] std::chrono::milliseconds paced_interval(const directory_options& options,
+                                                       std::size_t pages, std::uint32_t readers);
+
 /// @brief Reads the list of backend servers for as long as it is wanted.
 class server_directory : public std::enable_shared_from_this<server_directory> {
 public:
@@ -34,6 +44,9 @@
 
     /// @brief Begins or ceases to read.
     void set_wanted(bool wanted);
+    /// @brief Tells how many instances may read at the same time; with more than one, the first
+    /// read begins at a random moment, so that one of them can tell the others.
+    void set_readers(std::uint32_t readers);
     void stop();
 
 private:
@@ -46,6 +59,9 @@
     const dialect& speaks_;
     listener on_list_;
     boost::asio::steady_timer pause_;
+    std::mt19937_64 random_;
+    std::size_t pages_{1}; ///< that the last whole read took
+    std::uint32_t readers_{1};
     bool wanted_{false};
     bool running_{false};
     bool failing_{false};
--- a/include/tarragonspar/settings/instance_settings.hpp
+++ b/include/tarragonspar/settings/instance_settings.hpp
@@ -77,6 +77,7 @@
     std::vector<std::string> founders; ///< IPs of the first control instances, or of some of them
     bool first_start{false};           ///< the deployment starts for the first time, with no state
     endpoint server_list;              ///< where the platform lists backend servers
+    double server_list_rate{0.0};      ///< calls a second taken from all instances; 0: no limit
     std::chrono::milliseconds grace{8'000}; ///< between SIGTERM and the end by force
     double retry_ratio{0.2};                ///< repeats that a service's requests allow
     double retry_slack{0.0};                ///< repeats allowed beyond, over all instances
--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -1,5 +1,8 @@
 #include "tarragonspar/gateway/control_instance.hpp"
 
+#include <algorithm>
+#include <iterator>
+
 #include <boost/asio/post.hpp>
 
 #include "tarragonspar/gateway/plumbing.hpp"
@@ -21,6 +24,8 @@
 constexpr auto read_limit = std::chrono::milliseconds{900};
 /// Time for which a new leader lets holders report what they run before it grants anything.
 constexpr duration takeover_pause = std::chrono::milliseconds{250};
+/// Entry instances named in each answer to another one: it knows a dozen after a second.
+constexpr std::size_t told_peers = 3;
 
 http::reply plain(unsigned status, std::string body = "{}") {
     http::reply out;
@@ -34,7 +39,7 @@
 control_instance::control_instance(settings::instance_settings settings,
                                    std::unique_ptr<const dialect> speaks)
     : settings_(std::move(settings)), speaks_(std::move(speaks)), context_(1),
-      keep_running_(asio::make_work_guard(context_)) {
+      keep_running_(asio::make_work_guard(context_)), random_(std::random_device{}()) {
     node_ = std::make_unique<wire::node>(make_node_options(settings_),
                                          static_cast<wire::handler&>(*this));
     runtime::control_options options;
@@ -61,6 +66,7 @@
     desk_ = std::make_shared<desk_service>(context_);
     directory_options list;
     list.list = settings_.deployment.server_list;
+    list.calls_per_second = settings_.deployment.server_list_rate;
     directory_ = std::make_shared<server_directory>(
         context_, list, *speaks_,
         [this](std::vector<config::server> servers) { on_servers(std::move(servers)); });
@@ -151,6 +157,7 @@
 }
 
 void control_instance::on_servers(std::vector<config::server> servers) {
+    servers_read_ = now();
     const auto mark = mark_of(servers);
     if (mark == servers_mark_) {
         return;
@@ -181,7 +188,7 @@
     schedules_ = true;
     desk_->resume_quotas(settings_.deployment.quota_window);
     telemetry::write(telemetry::log_line("schedules")
-                         .add("entry_instances", static_cast<std::int64_t>(desk_->holders()))
+                         .add("entry_instances", static_cast<std::int64_t>(desk_->holders().size()))
                          .add("servers", static_cast<std::int64_t>(servers_.size())));
 }
 
@@ -209,7 +216,10 @@
     news.leader = group_.leader;
     news.members = group_.members;
     news.members.push_back(settings_.id);
-    news.entry_instances = desk_->holders();
+    const auto holders = desk_->holders();
+    news.entry_instances = static_cast<std::uint32_t>(holders.size());
+    std::sample(holders.begin(), holders.end(), std::back_inserter(news.peers), told_peers,
+                random_);
     if (newest_.number > report->document) {
         news.document = newest_;
     }
@@ -217,6 +227,7 @@
     if (servers_mark_ != 0 && servers_mark_ != report->servers_mark) {
         news.servers = servers_;
     }
+    news.servers_age = now() - servers_read_;
     reply({.known = true, .payload = pack(news)});
 }
 
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -1,6 +1,7 @@
 #include "tarragonspar/gateway/control_link.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 #include <boost/asio/post.hpp>
 
@@ -35,13 +36,23 @@
 constexpr std::uint32_t instances_at_full_slots = 6;
 /// Age of the list of servers from which on it is read here.
 constexpr duration list_silence = std::chrono::milliseconds{1'500};
+/// Other entry instances that are remembered: enough that some of them are in reach after a cut or
+/// while many restart.
+constexpr std::size_t max_peers = 12;
+/// Peers named to another entry instance.
+constexpr std::size_t told_peers = 3;
+/// Part by which a peer's list of servers must be younger to be worth its bytes.
+constexpr duration min_age_gain = std::chrono::milliseconds{200};
+/// Age of the last word of a leader up to which another entry instance is told of it.
+constexpr duration sure_leader = std::chrono::milliseconds{450};
 
 } // namespace
 
 control_link::control_link(asio::io_context& context, instance_id self, wire::node& node,
                            std::vector<instance_id> contacts, duration quota_window, hooks uses)
     : context_(context), self_(self), node_(node), quota_window_(quota_window),
-      uses_(std::move(uses)), timer_(context), contacts_(std::move(contacts)), list_heard_(now()),
+      uses_(std::move(uses)), timer_(context), contacts_(std::move(contacts)), list_read_(now()),
+      random_(std::random_device{}()),
       own_desk_(std::make_shared<desk_service>(context, own_choice_noise)) {
     next_contact_ = contacts_.empty() ? 0 : self_.value % contacts_.size();
 }
@@ -81,7 +92,10 @@
     if (scheduler_ && now() - scheduler_heard_ > lost_after_pauses * pause) {
         set_scheduler(std::nullopt);
     }
-    uses_.on_list_wanted(now() - list_heard_ > list_silence);
+    uses_.on_list_wanted(now() - list_read_ > list_silence);
+    if (!scheduler_) {
+        ask_peer();
+    }
     timer_.expires_after(scheduler_ ? pause : search_interval);
     timer_.async_wait([self = weak_from_this()](boost::system::error_code error) {
         const auto held = self.lock();
@@ -92,8 +106,10 @@
     if (!target_) {
         return;
     }
-    const entry_report what{
-        .open = uses_.open_requests(), .document = document_, .servers_mark = servers_mark_};
+    const entry_report what{.open = uses_.open_requests(),
+                            .document = document_.number,
+                            .servers_mark = servers_mark_,
+                            .servers_age = now() - list_read_};
     node_.ask(*target_, wire::topic::entry_report, pack(what, now()),
               [self = shared_from_this(), from = *target_](std::optional<wire::answer> answer) {
                   asio::post(self->context_, [self, from, answer = std::move(answer)] {
@@ -102,6 +118,95 @@
               });
 }
 
+// --- other entry instances, while no leader is heard ---
+
+void control_link::learn_peer(instance_id peer) {
+    if (peer == self_ || std::find(peers_.begin(), peers_.end(), peer) != peers_.end()) {
+        return;
+    }
+    if (peers_.size() < max_peers) {
+        peers_.push_back(peer);
+    } else {
+        peers_[random_() % peers_.size()] = peer;
+    }
+}
+
+void control_link::ask_peer() {
+    if (peers_.empty()) {
+        return;
+    }
+    const auto peer = peers_[random_() % peers_.size()];
+    const entry_report what{.open = {.holder = self_},
+                            .document = document_.number,
+                            .servers_mark = servers_mark_,
+                            .servers_age = now() - list_read_};
+    node_.ask(peer, wire::topic::entry_report, pack(what, now()),
+              [self = shared_from_this()](std::optional<wire::answer> answer) {
+                  asio::post(self->context_, [self, answer = std::move(answer)] {
+                      const auto news = answer && answer->known ? unpack_news(answer->payload)
+                                                                : std::optional<control_news>{};
+                      if (news) {
+                          self->on_peer_news(*news);
+                      }
+                  });
+              });
+}
+
+std::optional<control_news> control_link::answer_peer(instance_id from, const std::string& report) {
+    const auto asked = unpack_report(report, now());
+    if (!asked) {
+        return std::nullopt;
+    }
+    // Who asks may have restarted and know nobody; the next question goes back to it.
+    learn_peer(asked->open.holder);
+    control_news news;
+    if (scheduler_ && now() - scheduler_heard_ < sure_leader) {
+        news.leader = scheduler_;
+    }
+    news.members = contacts_;
+    news.entry_instances = entry_instances_;
+    if (document_.number > asked->document) {
+        news.document = document_;
+    }
+    news.servers_mark = servers_mark_;
+    news.servers_age = now() - list_read_;
+    const auto younger = news.servers_age + min_age_gain < asked->servers_age;
+    if (servers_mark_ != 0 && servers_mark_ != asked->servers_mark &&
+        (younger || asked->servers_mark == 0)) {
+        news.servers = servers_;
+    }
+    std::sample(peers_.begin(), peers_.end(), std::back_inserter(news.peers), told_peers, random_);
+    std::erase(news.peers, from);
+    return news;
+}
+
+void control_link::on_peer_news(const control_news& news) {
+    take_news(news);
+    if (entry_instances_ == 1 && news.entry_instances > 1) {
+        entry_instances_ = news.entry_instances;
+        uses_.on_size(entry_instances_);
+        share_servers();
+    }
+    if (!scheduler_ && news.leader) {
+        target_ = news.leader;
+    }
+}
+
+void control_link::take_news(const control_news& news) {
+    add_contacts(news.members);
+    for (const auto peer : news.peers) {
+        learn_peer(peer);
+    }
+    if (news.document) {
+        uses_.on_document(*news.document);
+    }
+    if (news.servers) {
+        set_servers(*news.servers, news.servers_age);
+    } else if (news.servers_mark != 0 && news.servers_mark == servers_mark_) {
+        list_read_ = std::max(list_read_, now() - news.servers_age);
+    }
+}
+
 void control_link::on_news(instance_id from, std::optional<wire::answer> answer) {
     const auto news =
         answer && answer->known ? unpack_news(answer->payload) : std::optional<control_news>{};
@@ -111,21 +216,12 @@
         }
         return;
     }
-    add_contacts(news->members);
     if (news->schedules && news->entry_instances != entry_instances_ && news->entry_instances > 0) {
         entry_instances_ = news->entry_instances;
         uses_.on_size(entry_instances_);
         share_servers();
     }
-    if (news->document) {
-        uses_.on_document(*news->document);
-    }
-    if (news->servers) {
-        list_heard_ = now();
-        set_servers(*news->servers);
-    } else if (news->servers_mark != 0 && news->servers_mark == servers_mark_) {
-        list_heard_ = now();
-    }
+    take_news(*news);
     if (news->schedules) {
         scheduler_heard_ = now();
         set_scheduler(from);
@@ -253,16 +349,20 @@
     }
 }
 
-void control_link::set_document(config::document_number in_force,
+void control_link::set_document(const config::document& in_force,
                                 const config::catalogue& content) {
     document_ = in_force;
     // An equal share, which the scheduler leaves to instances that it does not hear.
     own_desk_->set_quotas(content, {}, 1.0 / std::max(1U, entry_instances_));
 }
 
-void control_link::set_servers(std::vector<config::server> servers) {
+void control_link::set_servers(std::vector<config::server> servers, duration age) {
+    const auto read = now() - age;
+    if (servers_mark_ != 0 && read < list_read_) {
+        return; // an instance that led before may still tell the list of that time
+    }
     const auto mark = mark_of(servers);
-    list_heard_ = now();
+    list_read_ = read;
     if (mark == servers_mark_) {
         return;
     }
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -46,10 +46,13 @@
     repeats_.limits.instances = assumed_instances;
     directory_options list;
     list.list = settings_.deployment.server_list;
+    list.calls_per_second = settings_.deployment.server_list_rate;
     list.interval = std::chrono::milliseconds{1'000};
     directory_ = std::make_shared<server_directory>(
-        context_, list, *speaks_,
-        [this](std::vector<config::server> servers) { link_->set_servers(std::move(servers)); });
+        context_, list, *speaks_, [this](std::vector<config::server> servers) {
+            link_->set_servers(std::move(servers), duration{});
+        });
+    directory_->set_readers(assumed_instances);
     make_link();
 }
 
@@ -68,8 +71,9 @@
     uses.on_document = [this](const config::document& newest) { on_document(newest); };
     uses.on_size = [this](std::uint32_t entry_instances) {
         repeats_.limits.instances = entry_instances;
+        directory_->set_readers(entry_instances);
         if (catalogue_) {
-            link_->set_document(catalogue_->value().number, catalogue_->value());
+            link_->set_document(document_, catalogue_->value());
         }
     };
     uses.on_list_wanted = [this](bool wanted) { directory_->set_wanted(wanted && !leaving_); };
@@ -157,7 +161,8 @@
     limits.idle_timeout = read.value.limits.idle_timeout;
     front_->set_limits(limits);
     catalogue_ = std::make_shared<const config::catalogue_index>(std::move(read.value));
-    link_->set_document(newest.number, catalogue_->value());
+    document_ = newest;
+    link_->set_document(document_, catalogue_->value());
     metrics_.set_revision(newest.number.value);
     telemetry::write(telemetry::log_line("document_in_force")
                          .add("number", static_cast<std::int64_t>(newest.number.value)));
@@ -209,9 +214,16 @@
 
 void entry_instance::on_consensus(instance_id, std::string) {}
 
-void entry_instance::on_question(instance_id, wire::topic, std::string,
+void entry_instance::on_question(instance_id from, wire::topic about, std::string payload,
                                  std::function<void(wire::answer)> reply) {
-    reply({});
+    if (about != wire::topic::entry_report) {
+        reply({});
+        return;
+    }
+    asio::post(context_, [this, from, payload = std::move(payload), reply = std::move(reply)] {
+        const auto news = link_->answer_peer(from, payload);
+        reply(news ? wire::answer{.known = true, .payload = pack(*news)} : wire::answer{});
+    });
 }
 
 } // namespace tarragonspar::gateway
--- a/src/gateway/reports.cpp
+++ b/src/gateway/reports.cpp
@@ -53,9 +53,10 @@
     for (const auto& [workspace, units] : value.open.used) {
         used.push_back(json::array({workspace.value, units}));
     }
-    return cbor::encode(json::array({value.open.holder.value, value.open.started_as.value,
-                                     std::move(running), value.open.waiting, value.document.value,
-                                     value.servers_mark, std::move(used)}));
+    return cbor::encode(
+        json::array({value.open.holder.value, value.open.started_as.value, std::move(running),
+                     value.open.waiting, value.document.value, value.servers_mark, std::move(used),
+                     value.servers_age.count()}));
 }
 
 std::optional<entry_report> unpack_report(const std::string& bytes, time_point) {
@@ -81,6 +82,7 @@
             value.open.used.emplace(workspace_id{item.at(0).get<std::uint64_t>()},
                                     item.at(1).get<double>());
         }
+        value.servers_age = duration{in.at(7).get<duration::rep>()};
         return value;
     });
 }
@@ -89,7 +91,8 @@
     return cbor::encode(json::array(
         {value.schedules, value.leader ? json(value.leader->value) : json(), ids(value.members),
          value.entry_instances, value.document ? json(*value.document) : json(), value.servers_mark,
-         value.servers ? json(*value.servers) : json()}));
+         value.servers ? json(*value.servers) : json(), value.servers_age.count(),
+         ids(value.peers)}));
 }
 
 std::optional<control_news> unpack_news(const std::string& bytes) {
@@ -110,6 +113,10 @@
         if (!in.at(6).is_null()) {
             value.servers = in.at(6).get<std::vector<config::server>>();
         }
+        value.servers_age = duration{in.at(7).get<duration::rep>()};
+        for (const auto& id : in.at(8)) {
+            value.peers.push_back({id.get<std::uint32_t>()});
+        }
         return value;
     });
 }
--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -1,5 +1,7 @@
 #include "tarragonspar/gateway/server_directory.hpp"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -15,13 +17,26 @@
 constexpr unsigned status_ok = 200;
 /// Largest page that is read; a page of some dozen entries takes some kilobytes.
 constexpr std::size_t max_page_bytes = 4 * 1024 * 1024;
+/// Part of the platform's rate that is used: calls come in clumps, and in a cut two groups of
+/// readers don't know of each other.
+constexpr double rate_share = 0.5;
 
 } // namespace
 
+std::chrono::milliseconds paced_interval(const directory_options& options, std::size_t pages,
+                                         std::uint32_t readers) {
+    if (options.calls_per_second <= 0.0) {
+        return options.interval;
+    }
+    const auto calls = static_cast<double>(pages) * static_cast<double>(readers);
+    const std::chrono::duration<double> paced(calls / (options.calls_per_second * rate_share));
+    return std::max(options.interval, std::chrono::duration_cast<std::chrono::milliseconds>(paced));
+}
+
 server_directory::server_directory(asio::io_context& context, directory_options options,
                                    const dialect& speaks, listener on_list)
     : context_(context), options_(std::move(options)), speaks_(speaks),
-      on_list_(std::move(on_list)), pause_(context) {}
+      on_list_(std::move(on_list)), pause_(context), random_(std::random_device{}()) {}
 
 void server_directory::set_wanted(bool wanted) {
     if (wanted == wanted_ || options_.list.port == 0) {
@@ -34,7 +49,13 @@
         asio::co_spawn(
             context_, [self = shared_from_this()] { return self->run(); }, asio::detached);
     }
-    pause_.cancel();
+    if (!wanted) {
+        pause_.cancel();
+    }
+}
+
+void server_directory::set_readers(std::uint32_t readers) {
+    readers_ = std::max(1U, readers);
 }
 
 void server_directory::stop() {
@@ -43,6 +64,12 @@
 }
 
 asio::awaitable<void> server_directory::run() {
+    if (readers_ > 1) {
+        std::uniform_int_distribution<std::int64_t> moment(
+            0, paced_interval(options_, pages_, readers_).count());
+        pause_.expires_after(std::chrono::milliseconds{moment(random_)});
+        co_await pause_.async_wait(http::detail::as_result);
+    }
     while (wanted_) {
         std::vector<config::server> servers;
         const bool read = co_await read_all(servers);
@@ -54,7 +81,8 @@
         if (read && wanted_) {
             on_list_(std::move(servers));
         }
-        pause_.expires_after(read ? options_.interval : options_.backoff);
+        const auto interval = paced_interval(options_, pages_, readers_);
+        pause_.expires_after(read ? interval : std::max(interval, options_.backoff));
         co_await pause_.async_wait(http::detail::as_result);
     }
     running_ = false;
@@ -74,6 +102,7 @@
         }
         out.insert(out.end(), read.servers.begin(), read.servers.end());
         if (!read.next) {
+            pages_ = count + 1;
             co_return true;
         }
         page = std::move(read.next);
--- a/src/settings/instance_settings.cpp
+++ b/src/settings/instance_settings.cpp
@@ -109,6 +109,7 @@
     }
     in.optional("first_start", out.first_start, "true or false");
     read_endpoint(in, "server_list", out.server_list, false);
+    in.optional("server_list_rate", out.server_list_rate, "a number of calls a second");
     detail::read_milliseconds(in, "grace_ms", out.grace);
     double grace_s = 0.0;
     in.optional("grace_s", grace_s, "a number of seconds");
--- a/tests/deployment_fixture.hpp
+++ b/tests/deployment_fixture.hpp
@@ -206,6 +206,9 @@
         ASSERT_EQ(entries_[index]->start(), "");
     }
 
+    void stop_entry(std::size_t index) {
+        entries_[index].reset();
+    }
     void wipe_control(std::size_t index) {
         controls_[index].reset();
         std::filesystem::remove_all(folder_ / std::to_string(index));
--- a/tests/unit-deployment.cpp
+++ b/tests/unit-deployment.cpp
@@ -247,6 +247,24 @@
     }
 }
 
+// A restarted instance knows only the founders, and none of them is there to ask.
+TEST(Deployment, AnEntryInstanceRestartedWithoutAControlGroupLearnsFromOthers) {
+    platform_deployment d(1, 3);
+    const auto server = make_sound("i-1");
+    d.add_server(server, "s");
+    d.serve(make_manifest(1));
+    for (const std::size_t entry : {1U, 2U}) {
+        ASSERT_TRUE(wait_until([&] { return d.ready(entry).status == 200; }));
+    }
+    // Time for a few answers of the control group, each of which names some of the others.
+    std::this_thread::sleep_for(std::chrono::seconds{1});
+    d.stop_control(0);
+    d.stop_entry(0);
+    d.start_entry(0);
+    ASSERT_TRUE(wait_until([&] { return d.ready(0).status == 200; }));
+    EXPECT_EQ(d.call("GET", "/safe/x", "", {}).status, 200U);
+}
+
 TEST(Deployment, AGracefulShutdownCutsNothing) {
     const scripted_server slow("i-1",
                                [](const seen_request& request, asio::ip::tcp::socket& socket) {
