A list of servers is encoded once, and told only to those whose list is older

From 17 s on each grant took 100 ms, then 1 s, and never recovered at the usual load. 5 of 6 samples of the leader were the coding of its list of servers (malloc, free, JSON). The lag made the leader's own reads fail, so that more instances read for themselves.

Ruled out: decisions (a few percent by then); the platform's rate (reads were paced).

Change: the list is packed once a change (its mark is the hash of those bytes), and told only if it is younger than the asker's by 200 ms, by control and entry instances alike.

Test: ControlLink.AnotherEntryInstanceIsToldWhatItLacks ("has a younger one") is now about both.

Grants still take 50 to 200 ms from 18 to 25 s.

--- a/include/tarragonspar/gateway/control_instance.hpp
+++ b/include/tarragonspar/gateway/control_instance.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <random>
 #include <string>
 #include <thread>
 
@@ -8,6 +9,7 @@
 
 #include "tarragonspar/gateway/desk_service.hpp"
 #include "tarragonspar/gateway/dialect.hpp"
+#include "tarragonspar/gateway/reports.hpp"
 #include "tarragonspar/gateway/server_directory.hpp"
 #include "tarragonspar/http/server.hpp"
 #include "tarragonspar/runtime/control_service.hpp"
@@ -75,9 +77,7 @@
     config::document newest_;
     config::catalogue catalogue_; ///< what `newest_` says
     double quota_share_{1.0};
-    std::vector<config::server> servers_;
-    std::uint64_t servers_mark_{};
-    time_point servers_read_{};
+    server_list list_;
     std::mt19937_64 random_;
     bool leaving_{false};
 };
--- a/include/tarragonspar/gateway/control_link.hpp
+++ b/include/tarragonspar/gateway/control_link.hpp
@@ -58,7 +58,7 @@
 
     /// @brief Whether some list of servers is known.
     [[nodiscard]] bool has_servers() const noexcept {
-        return servers_mark_ != 0;
+        return list_.mark != 0;
     }
     /// @brief Whether the leader of the control group has answered lately.
     [[nodiscard]] bool has_leader() const noexcept {
@@ -103,13 +103,11 @@
     std::optional<instance_id> target_;
     std::optional<instance_id> scheduler_;
     time_point scheduler_heard_{};
-    time_point list_read_; ///< when the known list of servers was read from the platform
     std::uint32_t entry_instances_{1};
     std::vector<instance_id> peers_;
     std::mt19937_64 random_;
     config::document document_;
-    std::uint64_t servers_mark_{};
-    std::vector<config::server> servers_;
+    server_list list_;
     std::shared_ptr<desk_service> own_desk_;
     std::unordered_map<request_id, open_question> questions_;
     std::uint64_t asked_{0};
--- a/include/tarragonspar/gateway/reports.hpp
+++ b/include/tarragonspar/gateway/reports.hpp
@@ -26,8 +26,8 @@
     std::uint32_t entry_instances{};
     std::optional<config::document> document; ///< if newer than the reported one
     std::uint64_t servers_mark{};
-    std::optional<std::vector<config::server>> servers; ///< if the mark differs
-    duration servers_age{};                             ///< since the list was read
+    std::string packed_servers; ///< if the mark differs and the teller's list is younger; or empty
+    duration servers_age{};     ///< since the teller's list was read
     std::vector<instance_id> peers; ///< some entry instances, to be asked without a leader
 };
 
@@ -50,7 +50,24 @@
 [[nodiscard]] std::string pack(const dispatch::grant_news& value);
 [[nodiscard]] std::optional<dispatch::grant_news> unpack_grant_news(const std::string& bytes);
 
-/// @brief A number that differs for lists of servers that differ.
-[[nodiscard]] std::uint64_t mark_of(const std::vector<config::server>& servers);
+/// @brief A list of backend servers, ready to be told to others.
+struct server_list {
+    std::vector<config::server> servers;
+    /// Encoded once for each change: for each of sixty listeners anew, it took most of the leader's
+    /// processor time.
+    std::string packed;
+    std::uint64_t mark{}; ///< differs for lists that differ; 0: no list was ever read
+    time_point read{};    ///< when it was read from the platform
+};
+
+[[nodiscard]] server_list make_server_list(std::vector<config::server> servers, time_point read);
+
+/// @brief Adds to an answer what the asker's list of servers lacks: nothing if it has the same one
+/// or one that was read about as lately.
+void tell_servers(const server_list& known, const entry_report& asked, time_point now,
+                  control_news& out);
+
+/// @brief The servers that an answer tells, if it tells any.
+[[nodiscard]] std::optional<std::vector<config::server>> servers_in(const control_news& news);
 
 } // namespace tarragonspar::gateway
--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -146,8 +146,7 @@
     schedules_ = schedules_ && group_.leads;
     if (group_.leads && !led) {
         leads_since_ = now();
-        servers_.clear();
-        servers_mark_ = 0;
+        list_ = {};
     }
     if (!group_.leads && led) {
         // Holders ask elsewhere when their questions are answered with "not known".
@@ -157,15 +156,14 @@
 }
 
 void control_instance::on_servers(std::vector<config::server> servers) {
-    servers_read_ = now();
-    const auto mark = mark_of(servers);
-    if (mark == servers_mark_) {
+    auto fresh = make_server_list(std::move(servers), now());
+    list_.read = fresh.read;
+    if (fresh.mark == list_.mark) {
         return;
     }
-    log_server_changes(servers_, servers);
-    servers_ = std::move(servers);
-    servers_mark_ = mark;
-    desk_->set_servers(servers_);
+    log_server_changes(list_.servers, fresh.servers);
+    list_ = std::move(fresh);
+    desk_->set_servers(list_.servers);
 }
 
 void control_instance::share_quotas() {
@@ -181,7 +179,7 @@
 }
 
 void control_instance::begin_if_due() {
-    const auto due = group_.leads && servers_mark_ != 0 && now() - leads_since_ > takeover_pause;
+    const auto due = group_.leads && list_.mark != 0 && now() - leads_since_ > takeover_pause;
     if (schedules_ || !due) {
         return;
     }
@@ -189,7 +187,7 @@
     desk_->resume_quotas(settings_.deployment.quota_window);
     telemetry::write(telemetry::log_line("schedules")
                          .add("entry_instances", static_cast<std::int64_t>(desk_->holders().size()))
-                         .add("servers", static_cast<std::int64_t>(servers_.size())));
+                         .add("servers", static_cast<std::int64_t>(list_.servers.size())));
 }
 
 bool control_instance::schedules() const {
@@ -223,11 +221,7 @@
     if (newest_.number > report->document) {
         news.document = newest_;
     }
-    news.servers_mark = servers_mark_;
-    if (servers_mark_ != 0 && servers_mark_ != report->servers_mark) {
-        news.servers = servers_;
-    }
-    news.servers_age = now() - servers_read_;
+    tell_servers(list_, *report, now(), news);
     reply({.known = true, .payload = pack(news)});
 }
 
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -41,8 +41,6 @@
 constexpr std::size_t max_peers = 12;
 /// Peers named to another entry instance.
 constexpr std::size_t told_peers = 3;
-/// Part by which a peer's list of servers must be younger to be worth its bytes.
-constexpr duration min_age_gain = std::chrono::milliseconds{200};
 /// Age of the last word of a leader up to which another entry instance is told of it.
 constexpr duration sure_leader = std::chrono::milliseconds{450};
 
@@ -51,9 +49,10 @@
 control_link::control_link(asio::io_context& context, instance_id self, wire::node& node,
                            std::vector<instance_id> contacts, duration quota_window, hooks uses)
     : context_(context), self_(self), node_(node), quota_window_(quota_window),
-      uses_(std::move(uses)), timer_(context), contacts_(std::move(contacts)), list_read_(now()),
+      uses_(std::move(uses)), timer_(context), contacts_(std::move(contacts)),
       random_(std::random_device{}()),
       own_desk_(std::make_shared<desk_service>(context, own_choice_noise)) {
+    list_.read = now(); // a leader has some time to tell one before it is read here
     next_contact_ = contacts_.empty() ? 0 : self_.value % contacts_.size();
 }
 
@@ -92,7 +91,7 @@
     if (scheduler_ && now() - scheduler_heard_ > lost_after_pauses * pause) {
         set_scheduler(std::nullopt);
     }
-    uses_.on_list_wanted(now() - list_read_ > list_silence);
+    uses_.on_list_wanted(now() - list_.read > list_silence);
     if (!scheduler_) {
         ask_peer();
     }
@@ -108,8 +107,8 @@
     }
     const entry_report what{.open = uses_.open_requests(),
                             .document = document_.number,
-                            .servers_mark = servers_mark_,
-                            .servers_age = now() - list_read_};
+                            .servers_mark = list_.mark,
+                            .servers_age = now() - list_.read};
     node_.ask(*target_, wire::topic::entry_report, pack(what, now()),
               [self = shared_from_this(), from = *target_](std::optional<wire::answer> answer) {
                   asio::post(self->context_, [self, from, answer = std::move(answer)] {
@@ -138,8 +137,8 @@
     const auto peer = peers_[random_() % peers_.size()];
     const entry_report what{.open = {.holder = self_},
                             .document = document_.number,
-                            .servers_mark = servers_mark_,
-                            .servers_age = now() - list_read_};
+                            .servers_mark = list_.mark,
+                            .servers_age = now() - list_.read};
     node_.ask(peer, wire::topic::entry_report, pack(what, now()),
               [self = shared_from_this()](std::optional<wire::answer> answer) {
                   asio::post(self->context_, [self, answer = std::move(answer)] {
@@ -168,13 +167,7 @@
     if (document_.number > asked->document) {
         news.document = document_;
     }
-    news.servers_mark = servers_mark_;
-    news.servers_age = now() - list_read_;
-    const auto younger = news.servers_age + min_age_gain < asked->servers_age;
-    if (servers_mark_ != 0 && servers_mark_ != asked->servers_mark &&
-        (younger || asked->servers_mark == 0)) {
-        news.servers = servers_;
-    }
+    tell_servers(list_, *asked, now(), news);
     std::sample(peers_.begin(), peers_.end(), std::back_inserter(news.peers), told_peers, random_);
     std::erase(news.peers, from);
     return news;
@@ -200,10 +193,10 @@
     if (news.document) {
         uses_.on_document(*news.document);
     }
-    if (news.servers) {
-        set_servers(*news.servers, news.servers_age);
-    } else if (news.servers_mark != 0 && news.servers_mark == servers_mark_) {
-        list_read_ = std::max(list_read_, now() - news.servers_age);
+    if (auto servers = servers_in(news)) {
+        set_servers(std::move(*servers), news.servers_age);
+    } else if (list_.mark != 0 && news.servers_mark == list_.mark) {
+        list_.read = std::max(list_.read, now() - news.servers_age);
     }
 }
 
@@ -358,22 +351,21 @@
 
 void control_link::set_servers(std::vector<config::server> servers, duration age) {
     const auto read = now() - age;
-    if (servers_mark_ != 0 && read < list_read_) {
+    if (list_.mark != 0 && read < list_.read) {
         return; // an instance that led before may still tell the list of that time
     }
-    const auto mark = mark_of(servers);
-    list_read_ = read;
-    if (mark == servers_mark_) {
+    auto fresh = make_server_list(std::move(servers), read);
+    list_.read = read;
+    if (fresh.mark == list_.mark) {
         return;
     }
-    log_server_changes(servers_, servers);
-    servers_ = std::move(servers);
-    servers_mark_ = mark;
+    log_server_changes(list_.servers, fresh.servers);
+    list_ = std::move(fresh);
     share_servers();
 }
 
 void control_link::share_servers() {
-    auto shared = servers_;
+    auto shared = list_.servers;
     for (auto& server : shared) {
         const auto sharing = std::max(1U, entry_instances_);
         server.slots = std::clamp(server.slots * instances_at_full_slots / sharing, 1U,
--- a/src/gateway/reports.cpp
+++ b/src/gateway/reports.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+/// Part by which a list of servers must be younger to be worth its bytes: well under the pause
+/// between two reads of it.
+constexpr duration min_age_gain = std::chrono::milliseconds{200};
+
 /// Reads a value; nothing when the bytes have another form.
 template <class Read>
 auto read_cbor(const std::string& bytes, Read read)
@@ -91,8 +95,7 @@
     return cbor::encode(json::array(
         {value.schedules, value.leader ? json(value.leader->value) : json(), ids(value.members),
          value.entry_instances, value.document ? json(*value.document) : json(), value.servers_mark,
-         value.servers ? json(*value.servers) : json(), value.servers_age.count(),
-         ids(value.peers)}));
+         cbor::binary(value.packed_servers), value.servers_age.count(), ids(value.peers)}));
 }
 
 std::optional<control_news> unpack_news(const std::string& bytes) {
@@ -110,9 +113,7 @@
             value.document = in.at(4).get<config::document>();
         }
         value.servers_mark = in.at(5).get<std::uint64_t>();
-        if (!in.at(6).is_null()) {
-            value.servers = in.at(6).get<std::vector<config::server>>();
-        }
+        value.packed_servers = cbor::bytes_of(in.at(6));
         value.servers_age = duration{in.at(7).get<duration::rep>()};
         for (const auto& id : in.at(8)) {
             value.peers.push_back({id.get<std::uint32_t>()});
@@ -175,8 +176,29 @@
     });
 }
 
-std::uint64_t mark_of(const std::vector<config::server>& servers) {
-    return hash_name(json(servers).dump());
+server_list make_server_list(std::vector<config::server> servers, time_point read) {
+    auto packed = cbor::encode(json(servers));
+    const auto mark = hash_name(packed);
+    return {.servers = std::move(servers), .packed = std::move(packed), .mark = mark, .read = read};
+}
+
+void tell_servers(const server_list& known, const entry_report& asked, time_point now,
+                  control_news& out) {
+    out.servers_mark = known.mark;
+    out.servers_age = now - known.read;
+    const auto younger = out.servers_age + min_age_gain < asked.servers_age;
+    if (known.mark != 0 && known.mark != asked.servers_mark &&
+        (younger || asked.servers_mark == 0)) {
+        out.packed_servers = known.packed;
+    }
+}
+
+std::optional<std::vector<config::server>> servers_in(const control_news& news) {
+    if (news.packed_servers.empty()) {
+        return std::nullopt;
+    }
+    return read_cbor(news.packed_servers,
+                     [](const json& in) { return in.get<std::vector<config::server>>(); });
 }
 
 } // namespace tarragonspar::gateway
--- a/tests/unit-control_link.cpp
+++ b/tests/unit-control_link.cpp
@@ -84,14 +84,16 @@
         return f.link->answer_peer({2}, gateway::pack(report, now));
     };
     const auto first = ask({.open = {.holder = {2}}});
-    ASSERT_TRUE(first && first->servers);
+    ASSERT_TRUE(first && gateway::servers_in(*first));
     EXPECT_FALSE(first->schedules);
     const auto mark = first->servers_mark;
-    EXPECT_FALSE(ask({.open = {.holder = {2}}, .servers_mark = mark})->servers) << "has it";
-    EXPECT_FALSE(ask({.open = {.holder = {2}}, .servers_mark = mark + 1})->servers)
-        << "has a younger one";
-    EXPECT_TRUE(ask({.open = {.holder = {2}},
-                     .servers_mark = mark + 1,
-                     .servers_age = std::chrono::seconds{5}})
-                    ->servers);
+    const auto told = [&](std::uint64_t mark_there, duration age_there) {
+        const auto news =
+            ask({.open = {.holder = {2}}, .servers_mark = mark_there, .servers_age = age_there});
+        return news && gateway::servers_in(*news).has_value();
+    };
+    EXPECT_FALSE(told(mark, std::chrono::seconds{5})) << "has it";
+    EXPECT_TRUE(told(mark + 1, std::chrono::seconds{5}));
+    // Told again and again to instances that rightly kept their own, it took the leader's time.
+    EXPECT_FALSE(told(mark + 1, milliseconds{0})) << "has a younger one";
 }
