Servers are kept by what they offer, and orders of workspaces are merged

Each step for one of five servers of the plain service walked all 95; candidates of one tier walked past all items of a workspace that sends many times its usual.

Change: `scheduler::offering` lists servers by model; candidates are merged from the eligible workspaces' orders.

--- a/include/tarragonspar/admission/tier_queue.hpp
+++ b/include/tarragonspar/admission/tier_queue.hpp
@@ -56,7 +56,7 @@
     /// Inside a tier, only the workspaces that are eligible now are looked at, and requests that
     /// can still meet their latency objective go before those that can't. Answers bursts: where all
     /// are served in order of arrival, all are late.
-    /// @par Complexity  linear in the items passed over
+    /// @par Complexity  `limit` times the waiting workspaces
     [[nodiscard]] std::vector<const queued_item*>
     candidates(tier max_urgency, std::size_t limit, time_point now = time_point::min()) const;
 
@@ -102,15 +102,17 @@
 private:
     using deadline_key = std::pair<time_point, request_id>;
 
+    using item_order = std::map<deadline_key, const queued_item*>; ///< points into `items_`
+
     struct lane {
-        std::set<deadline_key> order;
+        item_order order;
         double virtual_time{};
     };
 
     struct level_lanes {
         std::unordered_map<workspace_id, lane> lanes;
         std::set<std::pair<double, workspace_id>> backlogged;
-        std::map<deadline_key, const queued_item*> order; ///< points into `items_`
+        item_order order;
         double virtual_now{};
         double work_seconds{};
     };
@@ -128,7 +130,7 @@
 
     queue_options options_;
     std::unordered_map<request_id, queued_item> items_;
-    std::map<deadline_key, const queued_item*> deadlines_;
+    item_order deadlines_;
     std::array<level_lanes, std::size_t{tier_count} * rank_count> levels_; ///< by tier, then rank
 };
 
--- a/include/tarragonspar/dispatch/detail/shedding.hpp
+++ b/include/tarragonspar/dispatch/detail/shedding.hpp
@@ -6,6 +6,10 @@
 
 namespace tarragonspar::dispatch::detail {
 
+/// @brief The owned servers that offer a model, whatever their state.
+[[nodiscard]] const std::vector<routing::server_model*>& servers_for(const scheduler& source,
+                                                                     model_id model);
+
 /// @brief Predicted time that a request keeps a slot busy, on the servers that this owner has.
 [[nodiscard]] double service_seconds(const scheduler& source, const work_item& work);
 
--- a/include/tarragonspar/dispatch/scheduler.hpp
+++ b/include/tarragonspar/dispatch/scheduler.hpp
@@ -69,6 +69,18 @@
     double service_seconds{2.0}; ///< mean time that a request keeps a slot busy
 };
 
+/// @brief The servers that offer one model, by pointers into `scheduler::servers`; so it is moved
+/// with them and never copied.
+struct server_refs {
+    server_refs() = default;
+    server_refs(const server_refs&) = delete;
+    server_refs& operator=(const server_refs&) = delete;
+    server_refs(server_refs&&) = default;
+    server_refs& operator=(server_refs&&) = default;
+    ~server_refs() = default;
+    std::vector<routing::server_model*> list;
+};
+
 /// @brief A peer's last digest, corrected by what was sent to it since.
 struct peer_state {
     std::unordered_map<model_id, routing::model_digest> models;
@@ -81,6 +93,7 @@
 struct scheduler {
     scheduler_options options;
     std::map<server_id, routing::server_model> servers;
+    std::map<model_id, server_refs> offering; ///< `servers` by what they offer
     std::map<model_id, model_pool> pools;
     std::map<request_id, running_item> running; ///< ordered, so that an issuer's can be listed
     std::map<request_id, model_id> queued_model;
--- a/src/admission/tier_queue.cpp
+++ b/src/admission/tier_queue.cpp
@@ -29,7 +29,7 @@
         lanes.backlogged.emplace(own.virtual_time, item.work.workspace);
     }
     const auto& kept = items_.emplace(item.work.id, item).first->second;
-    own.order.insert(key);
+    own.order.emplace(key, &kept);
     lanes.order.emplace(key, &kept);
     lanes.work_seconds += item.cost_seconds;
     deadlines_.emplace(deadline_key{item.work.deadline, item.work.id}, &kept);
@@ -103,17 +103,17 @@
         return nullptr;
     }
     const auto limit = lanes.backlogged.begin()->first + options_.fairness_slack_seconds;
-    const deadline_key* best = nullptr;
+    const item_order::value_type* best = nullptr;
     for (const auto& [virtual_time, workspace] : lanes.backlogged) {
         if (virtual_time > limit) {
             break;
         }
         const auto& first = *lanes.lanes.at(workspace).order.begin();
-        if (best == nullptr || first < *best) {
+        if (best == nullptr || first.first < best->first) {
             best = &first;
         }
     }
-    return &items_.at(best->second);
+    return best->second;
 }
 
 const queued_item* tier_queue::peek(tier max_urgency) const {
@@ -130,14 +130,33 @@
     if (lanes.backlogged.empty()) {
         return;
     }
+    // The eligible workspaces' orders are merged: one workspace that sends many times its usual
+    // has most of the items, and walking past them took longer than all else.
+    struct run {
+        item_order::const_iterator at;
+        item_order::const_iterator end;
+    };
     const auto last = lanes.backlogged.begin()->first + options_.fairness_slack_seconds;
-    const auto first_on_time = lanes.order.lower_bound({now, request_id{}});
-    auto from = on_time ? first_on_time : lanes.order.begin();
-    const auto to = on_time ? lanes.order.end() : first_on_time;
-    for (; from != to && out.size() < limit; ++from) {
-        const auto& item = *from->second;
-        if (lanes.lanes.at(item.work.workspace).virtual_time <= last) {
-            out.push_back(&item);
+    std::vector<run> runs;
+    for (const auto& [virtual_time, workspace] : lanes.backlogged) {
+        if (virtual_time > last) {
+            break;
+        }
+        const auto& order = lanes.lanes.at(workspace).order;
+        const auto first_on_time = order.lower_bound({now, request_id{}});
+        const run part =
+            on_time ? run{first_on_time, order.end()} : run{order.begin(), first_on_time};
+        if (part.at != part.end) {
+            runs.push_back(part);
+        }
+    }
+    while (!runs.empty() && out.size() < limit) {
+        const auto next =
+            std::min_element(runs.begin(), runs.end(),
+                             [](const run& a, const run& b) { return a.at->first < b.at->first; });
+        out.push_back(next->at->second);
+        if (++next->at == next->end) {
+            runs.erase(next);
         }
     }
 }
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -87,9 +87,9 @@
 
 /// Whether any owned server could ever serve the model.
 bool has_server(const scheduler& source, model_id model) {
-    return std::any_of(source.servers.begin(), source.servers.end(), [&](const auto& entry) {
-        return entry.second.state == config::server_state::active &&
-               routing::offers(entry.second, model);
+    const auto& servers = detail::servers_for(source, model);
+    return std::any_of(servers.begin(), servers.end(), [](const auto* server) {
+        return server->state == config::server_state::active;
     });
 }
 
@@ -104,10 +104,10 @@
 
 /// Whether some server that a request need not avoid could serve it.
 bool has_alternative(const scheduler& source, const work_item& work) {
-    return std::any_of(source.servers.begin(), source.servers.end(), [&](const auto& entry) {
-        return entry.second.state == config::server_state::active &&
-               routing::offers(entry.second, work.model) &&
-               std::find(work.avoid.begin(), work.avoid.end(), entry.first) == work.avoid.end();
+    const auto& servers = detail::servers_for(source, work.model);
+    return std::any_of(servers.begin(), servers.end(), [&](const auto* server) {
+        return server->state == config::server_state::active &&
+               std::find(work.avoid.begin(), work.avoid.end(), server->id) == work.avoid.end();
     });
 }
 
@@ -133,11 +133,10 @@
 
 std::uint32_t free_slots(const scheduler& source, model_id model, time_point now) {
     std::uint32_t count = 0;
-    for (const auto& [id, server] : source.servers) {
-        if (!routing::offers(server, model) || !routing::has_room(server, now)) {
-            continue;
+    for (const auto* server : detail::servers_for(source, model)) {
+        if (routing::has_room(*server, now)) {
+            count += routing::usable_window(*server) - server->in_flight;
         }
-        count += routing::usable_window(server) - server.in_flight;
     }
     return count;
 }
@@ -170,11 +169,11 @@
 /// Whether a server, full or not, would finish a request in time.
 bool some_server_finishes(const scheduler& source, const work_item& work, token_count output,
                           duration left, time_point now) {
-    return std::any_of(source.servers.begin(), source.servers.end(), [&](const auto& entry) {
-        const auto& server = entry.second;
-        return server.state == config::server_state::active &&
-               routing::offers(server, work.model) && routing::allows(server.breaker, now) &&
-               routing::is_learned(server) && routing::predict(server, work, output).finish <= left;
+    const auto& servers = detail::servers_for(source, work.model);
+    return std::any_of(servers.begin(), servers.end(), [&](const auto* server) {
+        return server->state == config::server_state::active &&
+               routing::allows(server->breaker, now) && routing::is_learned(*server) &&
+               routing::predict(*server, work, output).finish <= left;
     });
 }
 
@@ -186,15 +185,14 @@
         return false;
     }
     const auto service = source.pools.at(work.model).service_seconds;
-    return std::any_of(source.servers.begin(), source.servers.end(), [&](const auto& entry) {
-        const auto& server = entry.second;
-        if (server.state != config::server_state::active || !routing::is_learned(server) ||
-            !routing::offers(server, work.model) || !routing::allows(server.breaker, now) ||
-            routing::has_room(server, now)) {
+    const auto& servers = detail::servers_for(source, work.model);
+    return std::any_of(servers.begin(), servers.end(), [&](const auto* server) {
+        if (server->state != config::server_state::active || !routing::is_learned(*server) ||
+            !routing::allows(server->breaker, now) || routing::has_room(*server, now)) {
             return false;
         }
-        const auto wait = from_seconds(service / routing::usable_window(server));
-        return now + wait + routing::predict(server, work, {}).first_token <= work.objective;
+        const auto wait = from_seconds(service / routing::usable_window(*server));
+        return now + wait + routing::predict(*server, work, {}).first_token <= work.objective;
     });
 }
 
@@ -218,9 +216,9 @@
     routing::server_model* chosen = nullptr;
     double best_cost = 0.0;
     std::optional<duration> best_after_wait;
-    for (auto& [id, server] : target.servers) {
-        if (!routing::offers(server, work.model) ||
-            std::find(work.avoid.begin(), work.avoid.end(), id) != work.avoid.end()) {
+    for (auto* candidate : detail::servers_for(target, work.model)) {
+        auto& server = *candidate;
+        if (std::find(work.avoid.begin(), work.avoid.end(), server.id) != work.avoid.end()) {
             continue;
         }
         if (!routing::has_room(server, now)) {
@@ -241,7 +239,7 @@
             some_server_finishes(target, work, output, left, now)) {
             continue; // waits for a faster server rather than run out of time on a slow one
         }
-        const auto cost = to_seconds(predicted.finish) * choice_factor(target, work, id);
+        const auto cost = to_seconds(predicted.finish) * choice_factor(target, work, server.id);
         if (chosen == nullptr || cost < best_cost) {
             chosen = &server;
             best = predicted;
@@ -697,6 +695,12 @@
         next.emplace(description.id, std::move(model));
     }
     target.servers = std::move(next);
+    target.offering.clear();
+    for (auto& [id, server] : target.servers) {
+        for (const auto model : server.offers) {
+            target.offering[model].list.push_back(&server);
+        }
+    }
     target.limits.clear();
     for (const auto& limit : what.limits) {
         target.limits.emplace(workspace_id{hash_name(limit.workspace)}, limit.max_in_system);
--- a/src/dispatch/shedding.cpp
+++ b/src/dispatch/shedding.cpp
@@ -46,12 +46,9 @@
 /// Time that a request's cached prefix saves on the owned server that has most of it.
 duration prefill_saved(const scheduler& source, const work_item& work) {
     double best = 0.0;
-    for (const auto& [id, server] : source.servers) {
-        if (!routing::offers(server, work.model)) {
-            continue;
-        }
-        const auto cached = static_cast<double>(server.cache.match(work.blocks) * block_tokens);
-        best = std::max(best, cached / server.speed.prefill_tokens_per_second);
+    for (const auto* server : servers_for(source, work.model)) {
+        const auto cached = static_cast<double>(server->cache.match(work.blocks) * block_tokens);
+        best = std::max(best, cached / server->speed.prefill_tokens_per_second);
     }
     return from_seconds(best);
 }
@@ -61,15 +58,11 @@
     const auto output =
         source.lengths.predict(work.profile, work.workspace, work.max_output, optimistic_quantile);
     const auto left = work.deadline - now;
-    for (const auto& [id, server] : source.servers) {
-        if (!routing::offers(server, work.model)) {
-            continue;
-        }
-        if (!routing::is_learned(server) || routing::best_case(server, work, output) <= left) {
-            return false;
-        }
-    }
-    return !source.servers.empty();
+    const auto may_finish = [&](const routing::server_model* server) {
+        return !routing::is_learned(*server) || routing::best_case(*server, work, output) <= left;
+    };
+    const auto& servers = servers_for(source, work.model);
+    return !source.servers.empty() && std::none_of(servers.begin(), servers.end(), may_finish);
 }
 
 /// The peer with most free slots for a model, or with less urgent work of it than `urgency`.
@@ -169,11 +162,17 @@
 
 } // namespace
 
+const std::vector<routing::server_model*>& servers_for(const scheduler& source, model_id model) {
+    static const std::vector<routing::server_model*> none;
+    const auto found = source.offering.find(model);
+    return found == source.offering.end() ? none : found->second.list;
+}
+
 std::uint32_t total_slots(const scheduler& source, model_id model) {
     std::uint32_t slots = 0;
-    for (const auto& [id, server] : source.servers) {
-        if (server.state == config::server_state::active && routing::offers(server, model)) {
-            slots += routing::usable_window(server);
+    for (const auto* server : servers_for(source, model)) {
+        if (server->state == config::server_state::active) {
+            slots += routing::usable_window(*server);
         }
     }
     return slots;
@@ -183,11 +182,8 @@
     const auto output = source.lengths.predict(work.profile, work.workspace, work.max_output,
                                                source.options.length_quantile);
     double best = 0.0;
-    for (const auto& [id, server] : source.servers) {
-        if (!routing::offers(server, work.model)) {
-            continue;
-        }
-        const auto seconds = to_seconds(routing::best_case(server, work, output));
+    for (const auto* server : servers_for(source, work.model)) {
+        const auto seconds = to_seconds(routing::best_case(*server, work, output));
         if (best == 0.0 || seconds < best) {
             best = seconds;
         }
