tarragonctl explain: a request's life and the cause of its end, from logs

For engineers on call: `tarragonctl explain ID [FILE]...` prints the lines of one request, the cause of its end in a sentence, and what its instance believed then. The request's line names its latency objective, without which a late answer could not be told from one in time. Lines of different instances are not put in one order, since clocks differ. Lines are read with or without a word before them that names the writer.

--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -547,6 +547,7 @@
             .add("wait_ms", since_arrival(request.granted))
             .add("first_event_ms", since_arrival(request.first_event))
             .add("total_ms", millis(ended - request.work.arrival))
+            .add("objective_ms", since_arrival(request.work.objective))
             .add("allowed_ms", millis(request.work.deadline - request.work.arrival))
             .add("prompt_tokens", request.work.prompt.value)
             .add("max_output", request.work.max_output.value)
--- a/tools/tarragonctl/commands.cpp
+++ b/tools/tarragonctl/commands.cpp
@@ -8,6 +8,7 @@
 #include <sstream>
 #include <thread>
 
+#include "explain.hpp"
 #include "tarragonspar/config/state.hpp"
 #include "tarragonspar/settings/instance_settings.hpp"
 
@@ -299,7 +300,7 @@
 
 int print_completion() {
     std::puts(R"(_tarragonctl() {
-    local words="profile server config status watch list show publish delete add drain retire get diff history"
+    local words="profile server config status watch explain list show publish delete add drain retire get diff history"
     COMPREPLY=($(compgen -W "$words --instance --output --token --author --expect --change-id --help --version" -- "${COMP_WORDS[COMP_CWORD]}"))
 }
 complete -F _tarragonctl tarragonctl)");
@@ -382,6 +383,8 @@
   config  get | diff FILE | history | publish FILE
   status                   one instance's view of the deployment
   watch                    status again and again
+  explain ID [FILE]...     a request's life and the cause of its end, from logs of entry
+                           instances, one file an instance (default: standard input)
   completion               a completion script for bash
 
   --instance IP:PORT       any instance (default 127.0.0.1:8080)
@@ -418,6 +421,8 @@
         code = show_status(what);
     } else if (command == "watch") {
         code = watch(what);
+    } else if (command == "explain" && what.words.size() > 1) {
+        code = explain_request(word(1), {what.words.begin() + 2, what.words.end()});
     } else if (command == "completion") {
         code = print_completion();
     }
