Requests right after a start wait for the first news

Ruled out: the first election (0.5 s), the list, the leader's load (grants took 2 to 6 ms by 47 s).

Change: an instance that knows no catalogue or no servers holds what comes for up to 1.2 s after its start, then refuses at once as before. Time is counted from the arrival.

Test: Deployment.WhatComesRightAfterAStartIsServedAndNotRefused; without the wait it gets 503.

--- a/include/tarragonspar/gateway/control_link.hpp
+++ b/include/tarragonspar/gateway/control_link.hpp
@@ -29,6 +29,8 @@
         std::function<std::unordered_map<workspace_id, double>()> used;
         std::function<void(const config::document&)> on_document;
         std::function<void(std::uint32_t entry_instances)> on_size;
+        /// The list of servers has changed.
+        std::function<void()> on_servers;
         /// Whether this instance should read the list of servers itself.
         std::function<void(bool)> on_list_wanted;
     };
--- a/include/tarragonspar/gateway/entry_instance.hpp
+++ b/include/tarragonspar/gateway/entry_instance.hpp
@@ -54,12 +54,16 @@
 
     void make_link();
     void on_document(const config::document& newest);
+    /// @brief Whether a catalogue and some list of servers are known.
+    [[nodiscard]] bool knows_enough() const;
     [[nodiscard]] bool is_ready() const;
+    void wake_if_enough_known();
     [[nodiscard]] dispatch::holder_report open_requests();
 
     boost::asio::awaitable<void> handle(http::exchange& with);
     boost::asio::awaitable<void> handle_readiness(http::exchange& with);
-    [[nodiscard]] request_ptr admit(const http::request_message& request, http::reply& refused);
+    [[nodiscard]] request_ptr admit(const http::request_message& request, time_point arrival,
+                                    http::reply& refused);
     void fill_work(relayed_request& request);
     void watch(const request_ptr& request, http::exchange& with);
     boost::asio::awaitable<void> relay(request_ptr request, http::exchange& with);
@@ -84,6 +88,7 @@
     incarnation started_as_;
     boost::asio::io_context context_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> keep_running_;
+    boost::asio::steady_timer know_enough_; ///< what comes first waits for it; see its use
     std::thread thread_;
     telemetry::metrics metrics_;
     std::unique_ptr<wire::node> node_;
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -362,6 +362,7 @@
     log_server_changes(list_.servers, fresh.servers);
     list_ = std::move(fresh);
     share_servers();
+    uses_.on_servers();
 }
 
 void control_link::share_servers() {
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -18,6 +18,10 @@
 constexpr auto leave_notice = std::chrono::milliseconds{2'300};
 /// Part of the grace that is left unused, so that the process ends by itself.
 constexpr auto grace_margin = std::chrono::milliseconds{400};
+/// Time after its start for which an instance holds requests until it knows a catalogue and
+/// servers: a group that lost power elects a leader and tells them within 0.9 s, and a caller that
+/// is told to come back returns after a second, past its latency objective.
+constexpr auto first_news_patience = std::chrono::milliseconds{1'200};
 /// Pause between two looks at whether the last request has ended.
 constexpr auto drain_poll = std::chrono::milliseconds{50};
 
@@ -36,7 +40,7 @@
 entry_instance::entry_instance(settings::instance_settings settings,
                                std::unique_ptr<const dialect> speaks)
     : settings_(std::move(settings)), speaks_(std::move(speaks)), started_as_(make_incarnation()),
-      context_(1), keep_running_(asio::make_work_guard(context_)),
+      context_(1), keep_running_(asio::make_work_guard(context_)), know_enough_(context_),
       used_(settings_.deployment.quota_window), random_(std::random_device{}()) {
     node_ = std::make_unique<wire::node>(make_node_options(settings_),
                                          static_cast<wire::handler&>(*this));
@@ -76,6 +80,7 @@
             link_->set_document(document_, catalogue_->value());
         }
     };
+    uses.on_servers = [this] { wake_if_enough_known(); };
     uses.on_list_wanted = [this](bool wanted) { directory_->set_wanted(wanted && !leaving_); };
     link_ = std::make_shared<control_link>(context_, settings_.id, *node_, founders_of(settings_),
                                            settings_.deployment.quota_window, std::move(uses));
@@ -103,7 +108,10 @@
     if (metrics_server_) {
         metrics_server_->start();
     }
-    asio::post(context_, [this] { link_->start(); });
+    asio::post(context_, [this] {
+        know_enough_.expires_after(first_news_patience);
+        link_->start();
+    });
     thread_ = std::thread([this] { context_.run(); });
     log_start(settings_, "entry");
     return {};
@@ -166,10 +174,21 @@
     metrics_.set_revision(newest.number.value);
     telemetry::write(telemetry::log_line("document_in_force")
                          .add("number", static_cast<std::int64_t>(newest.number.value)));
+    wake_if_enough_known();
+}
+
+bool entry_instance::knows_enough() const {
+    return catalogue_ && link_->has_servers();
 }
 
 bool entry_instance::is_ready() const {
-    return !leaving_ && catalogue_ && link_->has_servers();
+    return !leaving_ && knows_enough();
+}
+
+void entry_instance::wake_if_enough_known() {
+    if (knows_enough()) {
+        know_enough_.cancel();
+    }
 }
 
 dispatch::holder_report entry_instance::open_requests() {
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -86,7 +86,7 @@
 } // namespace
 
 entry_instance::request_ptr entry_instance::admit(const http::request_message& message,
-                                                  http::reply& refused) {
+                                                  time_point arrival, http::reply& refused) {
     auto caller = speaks_->read_request(message);
     if (!caller.fault.empty()) {
         refused = http::format_error(400, caller.fault);
@@ -131,6 +131,7 @@
         const auto& quota = workspace->quota;
         work.quota_units = !quota.counts_tokens ? 1 : tokens > 0 ? tokens : quota.plain_tokens;
     }
+    work.arrival = arrival;
     fill_work(*request);
     return request;
 }
@@ -141,7 +142,6 @@
     work.urgency = {std::min<std::uint8_t>(work.urgency.value, tier_count - 1)};
     work.model = {hash_name(request.service)};
     work.profile = hash_name(request.route->name);
-    work.arrival = now();
     const duration allowed = request.route->timeout;
     const duration asked = request.caller.time_left.value_or(request.route->timeout);
     work.deadline = work.arrival + std::min(allowed, asked);
@@ -180,8 +180,13 @@
 }
 
 asio::awaitable<void> entry_instance::handle(http::exchange& with) {
+    const auto arrival = now();
+    if (!knows_enough()) {
+        // All that wait are woken when enough is known; at the latest when the timer expires.
+        co_await know_enough_.async_wait(http::detail::as_result);
+    }
     http::reply refused;
-    auto request = admit(with.request(), refused);
+    auto request = admit(with.request(), arrival, refused);
     if (!request) {
         telemetry::write(telemetry::log_line("request_rejected")
                              .add("status", refused.status)
--- a/tests/unit-control_link.cpp
+++ b/tests/unit-control_link.cpp
@@ -36,6 +36,7 @@
         uses.used = [] { return std::unordered_map<workspace_id, double>{}; };
         uses.on_document = [](const config::document&) {};
         uses.on_size = [](std::uint32_t) {};
+        uses.on_servers = [] {};
         uses.on_list_wanted = [](bool) {};
         link = std::make_shared<gateway::control_link>(context, instance_id{1}, node,
                                                        std::vector<instance_id>{},
--- a/tests/unit-deployment.cpp
+++ b/tests/unit-deployment.cpp
@@ -265,6 +265,19 @@
     EXPECT_EQ(d.call("GET", "/safe/x", "", {}).status, 200U);
 }
 
+// Right after a start the instance knows nothing yet. Refused, callers came back a second later,
+// and after a loss of power that was most of them.
+TEST(Deployment, WhatComesRightAfterAStartIsServedAndNotRefused) {
+    platform_deployment d(1, 1);
+    const auto server = make_sound("i-1");
+    d.add_server(server, "s");
+    d.serve(make_manifest(1));
+    d.stop_entry(0);
+    d.start_entry(0);
+    EXPECT_EQ(d.call("POST", "/unsafe/x", "b", {}).status, 200U);
+    EXPECT_EQ(d.call("GET", "/nowhere/x", "", {}).status, 404U);
+}
+
 TEST(Deployment, AGracefulShutdownCutsNothing) {
     const scripted_server slow("i-1",
                                [](const seen_request& request, asio::ip::tcp::socket& socket) {
