One command line for both daemons

`tarragond` and the gateway's daemon each read `[--check] FILE`, printed faults and waited for signals by a copy of the same code. Both use settings/daemon_command now; exit codes are named there. The words of the help stay their own. Test: unit-settings DaemonCommand; before, no test read a daemon's command line.

--- a/tests/unit-settings.cpp
+++ b/tests/unit-settings.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "tarragonspar/settings/daemon_command.hpp"
 #include "tarragonspar/settings/instance_settings.hpp"
 
 namespace {
@@ -90,3 +91,31 @@
     EXPECT_FALSE(parse_endpoint("10.0.0.1:99999"));
     EXPECT_FALSE(parse_endpoint(":80"));
 }
+
+namespace {
+
+daemon_command read_command(std::vector<std::string> words, const char* fallback) {
+    words.insert(words.begin(), "daemon");
+    std::vector<char*> values;
+    for (auto& word : words) {
+        values.push_back(word.data());
+    }
+    values.push_back(nullptr);
+    return read_daemon_command(static_cast<int>(words.size()), values.data(), "", fallback);
+}
+
+} // namespace
+
+TEST(DaemonCommand, TakesOneFileOrTheEnvironmentsWord) {
+    EXPECT_EQ(read_command({"--check", "a.yaml"}, nullptr).file, "a.yaml");
+    EXPECT_TRUE(read_command({"--check", "a.yaml"}, nullptr).check);
+    EXPECT_EQ(read_command({}, nullptr).exit_code, exit_usage);
+    EXPECT_EQ(read_command({"a.yaml", "b.yaml"}, nullptr).exit_code, exit_usage);
+    EXPECT_EQ(read_command({"--unknown"}, nullptr).exit_code, exit_usage);
+    EXPECT_EQ(read_command({"--help"}, nullptr).exit_code, 0);
+    ::setenv("TARRAGONSPAR_TEST_FILE", "c.yaml", 1);
+    EXPECT_EQ(read_command({}, "TARRAGONSPAR_TEST_FILE").file, "c.yaml");
+    EXPECT_EQ(read_command({"a.yaml"}, "TARRAGONSPAR_TEST_FILE").file, "a.yaml");
+    ::unsetenv("TARRAGONSPAR_TEST_FILE");
+    EXPECT_EQ(read_command({}, "TARRAGONSPAR_TEST_FILE").exit_code, exit_usage);
+}
