--- a/tests/deployment_fixture.hpp
+++ b/tests/deployment_fixture.hpp
@@ -240,6 +240,10 @@
     [[nodiscard]] asio::ip::tcp::endpoint front(std::size_t entry = 0) const {
         return {asio::ip::make_address(entry_address(entry)), front_port_};
     }
+    /// Where the first control instance is asked by others.
+    [[nodiscard]] settings::endpoint control_wire() const {
+        return {.address = control_address(0), .port = wire_port_};
+    }
     gateway::entry_instance& entry(std::size_t index) {
         return *entries_[index];
     }
--- a/tests/unit-deployment.cpp
+++ b/tests/unit-deployment.cpp
@@ -19,6 +19,67 @@
     });
 }
 
+/// In place of a control instance: tells every entry instance the same document and one server.
+class teller : public wire::handler {
+public:
+    explicit teller(const scripted_server& server) {
+        config::server one{.id = {hash_name(server.name()) & 0xffffffffU},
+                           .name = server.name(),
+                           .address = server.address(),
+                           .offers = {"s"},
+                           .slots = 4};
+        one.kind = config::server_kind::service;
+        list_ = gateway::make_server_list({one}, runtime::now());
+    }
+    ~teller() override {
+        node_->stop();
+    }
+    void start(const settings::endpoint& at) {
+        node_ = std::make_unique<wire::node>(
+            wire::node_options{.self = *settings::parse_instance_address(at.address), .listen = at},
+            *this);
+        ASSERT_EQ(node_->start(), "");
+    }
+    void tell(std::uint64_t number, std::string content) {
+        const std::lock_guard lock(mutex_);
+        document_ = {.number = {number}, .content = std::move(content)};
+    }
+    int times_told() {
+        const std::lock_guard lock(mutex_);
+        return times_told_;
+    }
+
+    void on_enqueue(instance_id, work_item, dispatch::call_body,
+                    std::shared_ptr<wire::remote_request>) override {}
+    void on_withdraw(instance_id, const request_id&) override {}
+    void on_gossip(instance_id, wire::gossip_message,
+                   std::function<void(wire::gossip_message)>) override {}
+    void on_probe(instance_id, std::function<void(bool)>) override {}
+    void on_consensus(instance_id, std::string) override {}
+    void on_question(instance_id, wire::topic, std::string payload,
+                     std::function<void(wire::answer)> reply) override {
+        const auto report = gateway::unpack_report(payload, runtime::now());
+        const std::lock_guard lock(mutex_);
+        if (!report || document_.number.value == 0) {
+            reply({});
+            return;
+        }
+        gateway::control_news news;
+        news.entry_instances = 1;
+        news.document = document_;
+        gateway::tell_servers(list_, *report, runtime::now(), news);
+        ++times_told_;
+        reply({.known = true, .payload = gateway::pack(news)});
+    }
+
+private:
+    gateway::server_list list_;
+    std::unique_ptr<wire::node> node_;
+    std::mutex mutex_;
+    config::document document_;
+    int times_told_{0};
+};
+
 } // namespace
 
 TEST(Deployment, ARequestAndItsAnswerPassUnchanged) {
@@ -157,27 +218,46 @@
     EXPECT_EQ(arrivals, 1);
 }
 
+// Work that goes on to its deadline would end as well, so a caller that stays is the measure: what
+// it waits for has the same time and began before.
 TEST(Deployment, ACallerThatLeavesEndsTheWorkAtTheServer) {
-    std::atomic<bool> ended{false};
-    const scripted_server slow(
-        "i-1", [&](const seen_request& request, asio::ip::tcp::socket& socket) {
-            write_raw(socket, stream_head(request, "sig") + chunk(event_text(1)));
-            char byte{};
-            boost::system::error_code error;
-            socket.read_some(asio::buffer(&byte, 1), error); // waits for the end of the connection
-            ended = true;
-        });
-    platform_deployment d;
-    d.add_server(slow, "s");
-    d.serve(make_manifest(1));
-    asio::io_context context;
-    asio::ip::tcp::socket caller(context);
-    caller.connect(d.front());
-    write_raw(caller, "POST /once/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a9\r\nKey: k\r\n"
-                      "Deadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n");
-    ASSERT_TRUE(wait_until([&] { return slow.seen().size() == 1; }));
-    caller.close();
-    EXPECT_TRUE(wait_until([&] { return ended.load(); }));
+    for (const std::string target : {"/once/x", "/unsafe/x"}) {
+        std::mutex mutex;
+        std::vector<std::string> ended;
+        const scripted_server slow(
+            "i-1", [&](const seen_request& request, asio::ip::tcp::socket& socket) {
+                if (target == "/once/x") {
+                    write_raw(socket, stream_head(request, "sig") + chunk(event_text(1)));
+                }
+                char byte{};
+                boost::system::error_code error;
+                socket.read_some(asio::buffer(&byte, 1), error); // waits for the connection's end
+                const std::lock_guard lock(mutex);
+                ended.push_back(request.headers.at("Attempt-Id"));
+            });
+        platform_deployment d;
+        d.add_server(slow, "s");
+        d.serve(make_manifest(1));
+        asio::io_context context;
+        const auto call = [&](const std::string& id) {
+            asio::ip::tcp::socket caller(context);
+            caller.connect(d.front());
+            write_raw(caller, "POST " + target +
+                                  " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id +
+                                  "\r\nKey: k\r\nDeadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n");
+            return caller;
+        };
+        const auto stays = call("stays");
+        ASSERT_TRUE(wait_until([&] { return slow.seen().size() == 1; }));
+        auto leaves = call("leaves");
+        ASSERT_TRUE(wait_until([&] { return slow.seen().size() == 2; }));
+        leaves.close();
+        ASSERT_TRUE(wait_until([&] {
+            const std::lock_guard lock(mutex);
+            return ended.size() == 2;
+        }));
+        EXPECT_EQ(ended.front(), "leaves") << target;
+    }
 }
 
 TEST(Deployment, CallersWithoutARouteOrAKeyAreTurnedAway) {
@@ -219,6 +299,27 @@
     EXPECT_NE(d.publish(make_manifest(8), 1).status, 200U);
 }
 
+// Control instances don't tell what is older than the reported number; an entry instance relies on
+// itself all the same, since who tells it may be wrong about it.
+TEST(Deployment, AnEntryInstanceNeverStepsBack) {
+    const auto server = make_sound("i-1");
+    teller control(server);
+    platform_deployment d;
+    control.start(d.control_wire());
+    d.start_entry(0);
+    control.tell(7, make_manifest(7));
+    ASSERT_TRUE(wait_until([&] { return d.ready().status == 200; }));
+    EXPECT_EQ(d.call("GET", "/safe/x", "", {}).status, 200U);
+    auto older = nlohmann::json::parse(make_manifest(5));
+    older["routes"] = nlohmann::json::array({older["routes"][1]});
+    control.tell(5, older.dump());
+    const auto told = control.times_told();
+    ASSERT_TRUE(wait_until([&] { return control.times_told() > told + 3; }));
+    EXPECT_EQ(d.call("GET", "/safe/x", "", {}).status, 200U) << "gone in the older one";
+    control.tell(8, older.dump());
+    ASSERT_TRUE(wait_until([&] { return d.call("GET", "/safe/x", "", {}).status == 404; }));
+}
+
 TEST(Deployment, AWipedControlInstanceJoinsAgainWithoutItsOldVote) {
     platform_deployment d(3, 1);
     const auto server = make_sound("i-1");
