Servers with exact slots are not taken for stragglers against their own best time

Cause: on the platform each server is a hardware class of its own, so its slowness was measured against its best time with a nearly empty batch. Overload made capacity smaller, so it outlived its cause. Change: stragglers are a matter of guessed slots only. Test: GrantDesk AServerThatSlowsDownWithItsBatchKeepsItsSlots, seen failing before.

--- a/include/tarragonspar/routing/server_model.hpp
+++ b/include/tarragonspar/routing/server_model.hpp
@@ -28,6 +28,7 @@
     speed_estimate speed;
     prefix_index cache;
     window in_flight_window;
+    bool slots_are_exact{false}; ///< the window is what the server admits
     circuit_breaker breaker;
     bool keep_in_use{false}; ///< too many others are ejected for this one to be left out
     load_report report;
@@ -70,7 +71,9 @@
 /// @brief Requests that may be in flight, less for a server slower than its class.
 [[nodiscard]] std::uint32_t usable_window(const server_model& server);
 
-/// @brief Whether the server is much slower than its hardware class.
+/// @brief Whether the server is much slower than its hardware class. Where slots are exact, tokens
+/// slow down with the batch, and a slow server that is full still serves more than one that is kept
+/// nearly empty; its speed counts in predictions alone.
 [[nodiscard]] bool is_straggler(const server_model& server);
 
 } // namespace tarragonspar::routing
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -307,6 +307,7 @@
             kept.state = model.state;
             kept.offers = std::move(model.offers);
             kept.hardware_class = std::move(model.hardware_class);
+            kept.slots_are_exact = model.slots_are_exact;
             if (description.slots_are_exact) {
                 kept.in_flight_window = model.in_flight_window;
             }
--- a/src/routing/server_model.cpp
+++ b/src/routing/server_model.cpp
@@ -33,6 +33,7 @@
         limits.max = limits.initial;
     }
     model.in_flight_window = make_window(limits);
+    model.slots_are_exact = description.slots_are_exact;
     return model;
 }
 
@@ -77,7 +78,7 @@
 }
 
 bool is_straggler(const server_model& server) {
-    return server.slowness > straggler_slowness;
+    return !server.slots_are_exact && server.slowness > straggler_slowness;
 }
 
 std::uint32_t usable_window(const server_model& server) {
--- a/tests/unit-grant_desk.cpp
+++ b/tests/unit-grant_desk.cpp
@@ -317,6 +317,32 @@
     }
 }
 
+// A server's tokens come several times slower in a full batch than in an empty one. Taken for a
+// straggler against its own best time, the fastest server of a pool was kept at one request through
+// an overload, which then never ended.
+TEST(GrantDesk, AServerThatSlowsDownWithItsBatchKeepsItsSlots) {
+    fixture f({make_server(1, 4)});
+    std::uint64_t sequence = 0;
+    const auto serve = [&](milliseconds whole) {
+        f.ask(f.make(++sequence, 0));
+        ASSERT_TRUE(f.granted.contains(sequence));
+        f.now += milliseconds{20};
+        f.tell(sequence, grant_news::what::first_token);
+        f.now += whole;
+        f.tell(sequence, grant_news::what::done);
+    };
+    for (int i = 0; i < 20; ++i) {
+        serve(milliseconds{20}); // ten tokens, alone in the batch
+    }
+    for (int i = 0; i < 20; ++i) {
+        serve(milliseconds{100}); // the same beside others
+    }
+    for (int i = 0; i < 4; ++i) {
+        f.ask(f.make(++sequence, 0));
+        EXPECT_TRUE(f.granted.contains(sequence)) << i << " run beside it";
+    }
+}
+
 // When all servers of a service fail part of their requests, ejecting them helps nobody.
 TEST(GrantDesk, ServersStayInUseWhenHalfOrMoreFail) {
     fixture f({make_server(1, 4), make_server(2, 4)});
