A planned stop serves what was just accepted

Cause, read from the code: the first close of idle connections also ended the accept loop, which dropped the next connection unanswered and never looked at those behind it; a new connection whose request was on its way counted as idle; closing the acceptor reset what the kernel had accepted; the project's own daemon ended with connections whose request nobody had counted yet. Change: connections end after their answer (leaving) apart from nothing more being accepted (stopping); what waits is accepted before the acceptor closes; a new connection is left a second for its first request; a request that comes at the moment of the close is read. Chunk extensions of callers are bounded by the buffer.

--- a/include/tarragonspar/http/detail/serve.hpp
+++ b/include/tarragonspar/http/detail/serve.hpp
@@ -51,7 +51,7 @@
 /// @brief What the sessions of one server share; outlives them.
 struct session_context {
     const std::atomic<std::shared_ptr<const settings::http_limits>>& limits;
-    const std::atomic<bool>& stopping;
+    const std::atomic<bool>& leaving;
     const std::function<boost::asio::awaitable<void>(exchange&)>& handle;
     idle_list& idle;
 };
--- a/include/tarragonspar/http/detail/session.hpp
+++ b/include/tarragonspar/http/detail/session.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <memory>
+#include <tuple>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -24,8 +26,13 @@
 
 /// Time for which a refused request is read on.
 constexpr auto linger_time = std::chrono::seconds{2};
+/// Time that a new connection is left for its first request when idle ones are closed: callers send
+/// it right after connecting.
+constexpr auto first_request_time = std::chrono::seconds{1};
 /// Bytes of a refused request that are read on.
 constexpr std::size_t max_discarded_bytes = 64 * 1024 * 1024;
+/// Bytes beside a head's limit that are kept unread: extensions of chunks have no other bound.
+constexpr std::size_t max_unread_bytes = 64 * 1024;
 /// Room for the first read of a request; most headers fit.
 constexpr std::size_t first_read_bytes = 4096;
 
@@ -184,24 +191,35 @@
         std::function<void()> end = [this] {
             auto executor = beast::get_lowest_layer(stream_).get_executor();
             asio::post(executor, [watch = std::weak_ptr(life_), this] {
-                if (watch.lock()) {
+                if (watch.lock() && !awaits_first_request()) {
                     beast::get_lowest_layer(stream_).cancel();
                 }
             });
         };
         const auto key = context_.idle.add(std::move(end));
         socket.expires_after(limits_->idle_timeout);
-        const auto [error, size] =
+        auto [error, size] =
             co_await stream_.async_read_some(buffer_.prepare(first_read_bytes), as_result);
         context_.idle.remove(key);
+        if (error == asio::error::operation_aborted && peek() == incoming::data) {
+            // A request that came at the moment of the end is still served.
+            std::tie(error, size) =
+                co_await stream_.async_read_some(buffer_.prepare(first_read_bytes), as_result);
+        }
         socket.expires_never();
         if (error) {
             co_return false;
         }
         buffer_.commit(size);
+        ++requests_;
         co_return true;
     }
 
+    /// Whether the connection is new and its caller is likely to be sending.
+    [[nodiscard]] bool awaits_first_request() const {
+        return requests_ == 0 && std::chrono::steady_clock::now() - opened_ < first_request_time;
+    }
+
     asio::awaitable<bool> read_request() {
         limits_ = context_.limits.load();
         const bool waiting = co_await wait_for_request();
@@ -212,6 +230,7 @@
         beast_http::request_parser<beast_http::string_body> parser;
         parser.header_limit(static_cast<std::uint32_t>(limits_->max_header_bytes));
         parser.body_limit(limits_->max_body_bytes);
+        buffer_.max_size(std::max(buffer_.size(), limits_->max_header_bytes + max_unread_bytes));
         auto& socket = beast::get_lowest_layer(stream_);
         socket.expires_after(limits_->header_timeout);
         const auto [header_error, header_size] =
@@ -299,7 +318,7 @@
     }
 
     void decide_keep_alive() {
-        keep_alive_ = request_.keep_alive() && !context_.stopping.load();
+        keep_alive_ = request_.keep_alive() && !context_.leaving.load();
     }
 
     void set_write_deadline() {
@@ -338,6 +357,8 @@
     session_context context_;
     std::shared_ptr<const settings::http_limits> limits_;
     std::shared_ptr<int> life_{std::make_shared<int>()}; ///< tells late callbacks of the end
+    std::chrono::steady_clock::time_point opened_{std::chrono::steady_clock::now()};
+    std::uint64_t requests_{0}; ///< begun on this connection
     bool chunked_{true};
     beast::flat_buffer buffer_;
     request_message request_;
--- a/include/tarragonspar/http/server.hpp
+++ b/include/tarragonspar/http/server.hpp
@@ -36,14 +36,15 @@
     /// @brief Starts to accept.
     void start();
 
-    /// @brief Stops accepting and tells callers with idle connections to leave.
+    /// @brief Accepts what has connected already, then nothing more.
     void stop_accepting();
 
     /// @brief Replaces the limits on requests to come.
     void set_limits(const settings::http_limits& limits);
 
     /// @brief Closes connections on which no request is being read or answered, and has the others
-    /// close after their answer.
+    /// close after their answer. New connections are still accepted, and one that has just been
+    /// opened is left a second for its first request.
     void close_idle();
 
     /// @brief Replaces the certificates for connections to come.
@@ -59,6 +60,8 @@
 
 private:
     boost::asio::awaitable<void> accept_loop();
+    void accept_waiting();
+    void take(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
 
     boost::asio::io_context& context_;
@@ -66,7 +69,8 @@
     handler handle_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::atomic<std::size_t> connections_{0};
-    std::atomic<bool> stopping_{false};
+    std::atomic<bool> leaving_{false};  ///< connections end after their next answer
+    std::atomic<bool> stopping_{false}; ///< nothing more is accepted
     std::atomic<std::shared_ptr<const settings::http_limits>> limits_;
     std::shared_ptr<detail::idle_list> idle_;
     std::atomic<std::shared_ptr<boost::asio::ssl::context>> tls_;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -64,19 +64,34 @@
 }
 
 void server::stop_accepting() {
+    leaving_ = true;
     stopping_ = true;
     asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+        self->accept_waiting();
         boost::system::error_code ignored;
         self->acceptor_.close(ignored);
     });
 }
 
+void server::accept_waiting() {
+    // Closing the acceptor resets what waits to be accepted, requests that were sent included.
+    boost::system::error_code error;
+    acceptor_.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(asio::make_strand(context_));
+        acceptor_.accept(socket, error);
+        if (!error) {
+            take(std::move(socket));
+        }
+    }
+}
+
 void server::set_limits(const settings::http_limits& limits) {
     limits_ = std::make_shared<const settings::http_limits>(limits);
 }
 
 void server::close_idle() {
-    stopping_ = true;
+    leaving_ = true;
     idle_->close_all();
 }
 
@@ -92,7 +107,7 @@
     while (!stopping_) {
         auto [error, socket] =
             co_await acceptor_.async_accept(asio::make_strand(context_), detail::as_result);
-        if (stopping_) {
+        if (error && stopping_) {
             co_return;
         }
         if (error) {
@@ -100,26 +115,30 @@
             co_await pause.async_wait(detail::as_result);
             continue;
         }
-        if (connections_ >= limits_.load()->max_connections) {
-            continue; // dropping the socket closes it
-        }
-        auto executor = socket.get_executor();
-        asio::co_spawn(
-            executor,
-            [self = shared_from_this(), connection = std::move(socket)]() mutable {
-                return self->serve(std::move(connection));
-            },
-            asio::detached);
+        take(std::move(socket));
     }
 }
 
+void server::take(tcp::socket socket) {
+    if (connections_ >= limits_.load()->max_connections) {
+        return; // dropping the socket closes it
+    }
+    auto executor = socket.get_executor();
+    asio::co_spawn(
+        executor,
+        [self = shared_from_this(), connection = std::move(socket)]() mutable {
+            return self->serve(std::move(connection));
+        },
+        asio::detached);
+}
+
 asio::awaitable<void> server::serve(tcp::socket socket) {
     const connection_count counted(connections_);
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     const auto tls = tls_.load();
     const detail::session_context context{
-        .limits = limits_, .stopping = stopping_, .handle = handle_, .idle = *idle_};
+        .limits = limits_, .leaving = leaving_, .handle = handle_, .idle = *idle_};
     if (tls) {
         co_await detail::serve_tls(std::move(socket), tls, context);
     } else {
--- a/src/runtime/instance.cpp
+++ b/src/runtime/instance.cpp
@@ -239,11 +239,14 @@
         if (accepting) {
             // Callers that still come while the last requests end are served.
             accepting = false;
-            callers_->stop();
             server_->stop_accepting();
             continue;
         }
-        break;
+        // A connection that was just accepted may carry a request that nobody has counted yet.
+        server_->close_idle();
+        if (server_->connections() == 0) {
+            break;
+        }
     }
     callers_->stop();
     server_->stop_accepting();
