Servers that leave or ask for a pause are left in peace; decoders bear any bytes

Change: Server-Leaving and a refusal's Retry-After are decoded in platform/ into facts about the server. The instance that was told keeps them at once, in and out of touch: grants against them come back unused without costing an attempt or quota, the question carries the reason, and the leader takes it over. A server that left is taken back only as a new start (its moment of start, or the list showed the departure in between). Where all servers want a pause the shortest is the caller's Retry-After, at once; pauses over 60 s end there. A refusal that names another request is no promise. Found by the new fuzz of decoders: an unknown word in a told list of servers threw std::invalid_argument out of the reader and would have taken the process down; a proved read of the document could throw on the wire thread. Both are read as nothing now, with a log line; handlers of entry and control instances run guarded.

--- a/include/tarragonspar/config/configuration.hpp
+++ b/include/tarragonspar/config/configuration.hpp
@@ -40,6 +40,8 @@
     std::uint32_t slots{8};          ///< first guess of how many requests run side by side
     bool slots_are_exact{false};     ///< `slots` is what the server admits, not a guess
     bool checks_fencing{false};      ///< refuses orders that carry an old fencing number
+    /// Unix milliseconds at which the program started, for lists that tell; 0: not told.
+    std::uint64_t started_at_ms{0};
     friend bool operator==(const server&, const server&) = default;
 };
 
--- a/include/tarragonspar/dispatch/events.hpp
+++ b/include/tarragonspar/dispatch/events.hpp
@@ -94,12 +94,25 @@
     bool just_begun{false}; ///< its whole course will be seen, so speeds are learned from it
 };
 
+/// A server is leaving; it gets nothing more.
+struct server_leaves {
+    server_id server;
+};
+
+/// A server wants nothing from one holder for some time.
+struct server_paused {
+    server_id server;
+    instance_id holder;
+    time_point until{};
+};
+
 /// Time has passed.
 struct ticked {};
 
-using event = std::variant<arrived, withdrawn, dispatch_failed, grant_refused, first_token,
-                           progressed, ended, reported, cache_changed, ownership_changed,
-                           peer_reported, peer_gone, drain_requested, adopted, ticked>;
+using event =
+    std::variant<arrived, withdrawn, dispatch_failed, grant_refused, first_token, progressed, ended,
+                 reported, cache_changed, ownership_changed, peer_reported, peer_gone,
+                 drain_requested, adopted, server_leaves, server_paused, ticked>;
 
 /// Dispatch a request; its slot is reserved until `ended` or `dispatch_failed`.
 struct start_dispatch {
--- a/include/tarragonspar/dispatch/grant_desk.hpp
+++ b/include/tarragonspar/dispatch/grant_desk.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "tarragonspar/admission/quota.hpp"
+#include "tarragonspar/dispatch/departures.hpp"
 #include "tarragonspar/dispatch/scheduler.hpp"
 
 namespace tarragonspar::dispatch {
@@ -38,6 +40,15 @@
     none,
     not_connected, ///< the server took no connection; nothing was sent
     server_failed, ///< the server refused, failed or broke off
+    unused,        ///< the holder knew that the server wants no work from it; nothing was sent
+};
+
+/// @brief What a server said about itself in an answer to a holder.
+struct server_notice {
+    server_id server;
+    instance_id holder;            ///< whom the server told
+    std::optional<duration> pause; ///< it wants nothing from that holder for so long; nothing: the
+                                   ///< server is leaving
 };
 
 /// @brief News about a granted request.
@@ -83,6 +94,7 @@
     };
     scheduler decisions{.options = desk_options()};
     std::map<server_id, config::server> servers;
+    departures leaving;
     admission::quota_table quotas;
     std::map<instance_id, holder_state> holders;
     std::map<instance_id, time_point> last_heard; ///< also of holders that were given up
@@ -99,6 +111,16 @@
 /// @brief A holder tells what became of a request.
 void note(grant_desk& target, const grant_news& news, time_point now, std::vector<decision>& out);
 
+/// @brief Notes what a server said about itself: one that leaves gets no further grant until it has
+/// started anew, one that asked a holder for a pause gets none for that holder's requests.
+/// @return whether that is news
+bool note(grant_desk& target, const server_notice& notice, time_point now,
+          std::vector<decision>& out);
+
+/// @brief The notice that forbids a holder to send to a server now, if there is one.
+[[nodiscard]] std::optional<server_notice> find_notice(const grant_desk& source, server_id server,
+                                                       instance_id holder, time_point now);
+
 /// @brief Notes a request that another desk granted, so that speeds and counts are known here too.
 void note_elsewhere(grant_desk& target, const work_item& work, server_id server, time_point now);
 
--- a/include/tarragonspar/dispatch/scheduler.hpp
+++ b/include/tarragonspar/dispatch/scheduler.hpp
@@ -100,6 +100,8 @@
     std::unordered_map<workspace_id, std::uint32_t> in_system;
     std::unordered_map<workspace_id, std::uint32_t> limits;
     std::map<instance_id, peer_state> peers;
+    /// Until when a server wants nothing from a holder's requests.
+    std::map<std::pair<server_id, instance_id>, time_point> pauses;
     std::unordered_map<std::string, double> class_speed; ///< seconds per token by hardware class
     std::unordered_set<block_hash> prefixes_underway;    ///< computed now, and worth waiting for
     routing::length_estimator lengths;
--- a/include/tarragonspar/gateway/control_instance.hpp
+++ b/include/tarragonspar/gateway/control_instance.hpp
@@ -51,6 +51,7 @@
     void on_servers(std::vector<config::server> servers);
     void answer_report(const std::string& payload, const std::function<void(wire::answer)>& reply);
     void answer_grant(const std::string& payload, std::function<void(wire::answer)> reply);
+    void take_notice(const dispatch::server_notice& notice);
     void begin_if_due();
     void share_quotas();
     [[nodiscard]] bool schedules() const;
--- a/include/tarragonspar/gateway/control_link.hpp
+++ b/include/tarragonspar/gateway/control_link.hpp
@@ -50,6 +50,10 @@
     /// @brief Tells what became of a request.
     void note(const dispatch::grant_news& news);
 
+    /// @brief Takes what a server said about itself to this instance: no request is sent there
+    /// against its word from now on, whoever grants it, and the scheduler is told.
+    void note(const dispatch::server_notice& notice);
+
     void set_document(const config::document& in_force, const config::catalogue& content);
     /// @brief A list of servers that was read from the platform `age` ago.
     void set_servers(std::vector<config::server> servers, duration age);
@@ -72,6 +76,7 @@
     struct open_question {
         work_item work;
         dispatch::earlier_grant earlier{dispatch::earlier_grant::none};
+        std::optional<dispatch::server_notice> notice; ///< why the last grant was not used
         desk_service::reply answer;
         std::uint64_t asked{}; ///< number of the time it was asked; other answers are too late
     };
@@ -88,6 +93,8 @@
     void ask_all_again();
     void send_question(open_question& question);
     void ask_scheduler(const open_question& question);
+    void return_grant(open_question& question, const dispatch::grant& given,
+                      const dispatch::server_notice& notice);
     void ask_own_desk(const open_question& question);
     void take_remote_verdict(const request_id& id, std::uint64_t asked,
                              const std::optional<dispatch::verdict>& what);
--- a/include/tarragonspar/gateway/desk_service.hpp
+++ b/include/tarragonspar/gateway/desk_service.hpp
@@ -28,6 +28,11 @@
                     double share);
     void ask(const work_item& work, dispatch::earlier_grant earlier, reply answer);
     void note(const dispatch::grant_news& news);
+    /// @return whether the notice is news
+    bool note(const dispatch::server_notice& notice);
+    /// @brief The notice that forbids a holder to send to a server now, if there is one.
+    [[nodiscard]] std::optional<dispatch::server_notice> find_notice(server_id server,
+                                                                     instance_id holder) const;
     void note_elsewhere(const work_item& work, server_id server);
     void resume_quotas(duration window);
     /// @brief Goes on counting quotas from this instance's own use.
--- a/include/tarragonspar/gateway/dialect.hpp
+++ b/include/tarragonspar/gateway/dialect.hpp
@@ -48,6 +48,9 @@
     std::string request_name; ///< id of the request that it answers; empty: not said
     bool not_executed{false}; ///< the server did not run the request
     bool signed_by_server{false};
+    bool server_leaves{false}; ///< the server stops soon and wants no further work
+    /// Time for which the server wants nothing from this instance; only in refusals.
+    std::optional<duration> wanted_pause;
 };
 
 /// @brief An operator publishes a document.
--- a/include/tarragonspar/gateway/entry_instance.hpp
+++ b/include/tarragonspar/gateway/entry_instance.hpp
@@ -66,6 +66,7 @@
                                     http::reply& refused);
     void fill_work(relayed_request& request);
     void watch(const request_ptr& request, http::exchange& with);
+    void take_notices(relayed_request& request, const answer_marks& marks);
     boost::asio::awaitable<void> relay(request_ptr request, http::exchange& with);
     boost::asio::awaitable<bool> wait_for_grant(request_ptr request,
                                                 dispatch::earlier_grant earlier);
--- a/include/tarragonspar/gateway/plumbing.hpp
+++ b/include/tarragonspar/gateway/plumbing.hpp
@@ -20,6 +20,10 @@
 /// @brief What entry and control instances have in common.
 namespace tarragonspar::gateway {
 
+/// @brief Runs a context until it is stopped. An exception that leaves a handler ends that handler
+/// alone, with a log line: one request or message must not take the process down.
+void run_guarded(boost::asio::io_context& context);
+
 /// @brief Options of the protocol between instances, where an id tells the address.
 [[nodiscard]] wire::node_options make_node_options(const settings::instance_settings& from);
 
--- a/include/tarragonspar/gateway/relayed_request.hpp
+++ b/include/tarragonspar/gateway/relayed_request.hpp
@@ -46,6 +46,7 @@
     bool timed_out{false}; ///< the deadline has passed
     std::shared_ptr<http::backend_call> call;
     std::optional<dispatch::grant> running_at;
+    std::optional<duration> server_pause; ///< what the last server that declined asked for
 
     std::uint32_t attempts{0};    ///< servers that the request was sent to
     std::uint32_t unreachable{0}; ///< servers that took no connection
--- a/include/tarragonspar/gateway/reports.hpp
+++ b/include/tarragonspar/gateway/reports.hpp
@@ -35,6 +35,8 @@
 struct grant_question {
     work_item work;
     dispatch::earlier_grant earlier{dispatch::earlier_grant::none};
+    /// Why the earlier grant was not used, if it was not; the scheduler may not know it yet.
+    std::optional<dispatch::server_notice> notice;
 };
 
 /// @brief Bytes for questions between instances; reading gives nothing for bytes of another form.
@@ -47,6 +49,8 @@
                                                             time_point now);
 [[nodiscard]] std::string pack(const dispatch::verdict& value);
 [[nodiscard]] std::optional<dispatch::verdict> unpack_verdict(const std::string& bytes);
+[[nodiscard]] std::string pack(const dispatch::server_notice& value);
+[[nodiscard]] std::optional<dispatch::server_notice> unpack_notice(const std::string& bytes);
 [[nodiscard]] std::string pack(const dispatch::grant_news& value);
 [[nodiscard]] std::optional<dispatch::grant_news> unpack_grant_news(const std::string& bytes);
 
--- a/include/tarragonspar/types/units.hpp
+++ b/include/tarragonspar/types/units.hpp
@@ -59,4 +59,9 @@
     return duration{static_cast<std::int64_t>(seconds * 1e6)};
 }
 
+/// @brief Whole milliseconds, for logs and headers.
+[[nodiscard]] constexpr std::int64_t to_milliseconds(duration value) noexcept {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
 } // namespace tarragonspar
--- a/include/tarragonspar/wire/messages.hpp
+++ b/include/tarragonspar/wire/messages.hpp
@@ -29,7 +29,8 @@
     published,      ///< the newest published document, proved to be the newest
     entry_report,   ///< an entry instance's state, for news of the control group and servers
     grant,          ///< a wish to dispatch a request, for the scheduler
-    grant_news      ///< what became of granted requests, for the scheduler
+    grant_news,     ///< what became of granted requests, for the scheduler
+    server_notice   ///< what a server said about itself, for the scheduler
 };
 
 /// @brief The answer to a question; not known when the peer can't tell.
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -105,6 +105,9 @@
            {"slots", value.slots},
            {"slots_are_exact", value.slots_are_exact},
            {"checks_fencing", value.checks_fencing}};
+    if (value.started_at_ms != 0) {
+        out["started_at_ms"] = value.started_at_ms;
+    }
 }
 
 void from_json(const nlohmann::json& in, server& value) {
@@ -119,6 +122,7 @@
     value.slots = in.value("slots", 8U);
     value.slots_are_exact = in.value("slots_are_exact", false);
     value.checks_fencing = in.value("checks_fencing", false);
+    value.started_at_ms = in.value("started_at_ms", std::uint64_t{0});
 }
 
 void to_json(nlohmann::json& out, const workspace_limit& value) {
--- a/src/dispatch/grant_desk.cpp
+++ b/src/dispatch/grant_desk.cpp
@@ -69,6 +69,10 @@
     return ids;
 }
 
+/// Longest pause of a server that is honoured. A wrong number would otherwise take the server away
+/// for good; after a minute one request asks again and is told the rest.
+constexpr duration max_server_pause = std::chrono::seconds{60};
+
 /// Wait that is still worth it: about the latency objectives of the first users. What would wait
 /// longer is late anyway, and is as late when it comes back. Measured between 0.8 and 2 s.
 constexpr double max_wait_seconds = 1.2;
@@ -98,11 +102,44 @@
 
 void set_servers(grant_desk& target, const std::vector<config::server>& servers, time_point now,
                  std::vector<decision>& out) {
+    auto listed = servers;
+    target.leaving.apply(listed);
     target.servers.clear();
-    for (const auto& server : servers) {
+    for (const auto& server : listed) {
         target.servers.emplace(server.id, server);
     }
-    send(target, ownership_changed{.owned = servers, .limits = {}}, now, out);
+    send(target, ownership_changed{.owned = std::move(listed), .limits = {}}, now, out);
+}
+
+bool note(grant_desk& target, const server_notice& notice, time_point now,
+          std::vector<decision>& out) {
+    if (notice.pause) {
+        const auto until = now + std::min(*notice.pause, max_server_pause);
+        send(target,
+             server_paused{.server = notice.server, .holder = notice.holder, .until = until}, now,
+             out);
+        return true;
+    }
+    if (!target.leaving.note(notice.server, now)) {
+        return false;
+    }
+    if (const auto found = target.servers.find(notice.server); found != target.servers.end()) {
+        found->second.state = config::server_state::draining;
+        send(target, server_leaves{.server = notice.server}, now, out);
+    }
+    return true;
+}
+
+std::optional<server_notice> find_notice(const grant_desk& source, server_id server,
+                                         instance_id holder, time_point now) {
+    if (source.leaving.contains(server)) {
+        return server_notice{.server = server, .holder = holder, .pause = std::nullopt};
+    }
+    const auto found = source.decisions.pauses.find({server, holder});
+    if (found != source.decisions.pauses.end() && found->second > now) {
+        return server_notice{.server = server, .holder = holder, .pause = found->second - now};
+    }
+    return std::nullopt;
 }
 
 void ask(grant_desk& target, const work_item& work, earlier_grant earlier, time_point now,
@@ -114,6 +151,8 @@
         }
     } else if (earlier == earlier_grant::server_failed) {
         send(target, ended{.id = work.id, .whole = false, .server_fault = true}, now, out);
+    } else if (earlier == earlier_grant::unused) {
+        send(target, grant_refused{.id = work.id}, now, out);
     } else if (const auto wait =
                    admission::take(target.quotas, work.workspace, work.quota_units, now);
                wait > duration{}) {
--- a/src/dispatch/placing.cpp
+++ b/src/dispatch/placing.cpp
@@ -133,6 +133,15 @@
     });
 }
 
+/// Whether a server asked the holder of a request for a pause.
+bool is_paused(const scheduler& source, server_id server, instance_id holder, time_point now) {
+    if (source.pauses.empty()) {
+        return false;
+    }
+    const auto found = source.pauses.find({server, holder});
+    return found != source.pauses.end() && now < found->second;
+}
+
 /// Factor that makes desks which know nothing of each other choose different servers.
 double choice_factor(const scheduler& source, const work_item& work, server_id server) {
     if (source.options.choice_noise <= 0.0) {
@@ -155,7 +164,8 @@
     std::optional<duration> best_after_wait;
     for (auto* candidate : servers_for(target, work.model)) {
         auto& server = *candidate;
-        if (std::find(work.avoid.begin(), work.avoid.end(), server.id) != work.avoid.end()) {
+        if (std::find(work.avoid.begin(), work.avoid.end(), server.id) != work.avoid.end() ||
+            is_paused(target, server.id, work.id.issuer, now)) {
             continue;
         }
         if (!routing::has_room(server, now)) {
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -81,6 +81,26 @@
     return present != source.in_system.end() && present->second >= limit->second;
 }
 
+/// Until when all servers of a request want nothing from its holder, if all do.
+std::optional<time_point> paused_until(const scheduler& source, const work_item& work,
+                                       time_point now) {
+    if (source.pauses.empty()) {
+        return std::nullopt;
+    }
+    std::optional<time_point> first;
+    for (const auto* server : detail::servers_for(source, work.model)) {
+        if (server->state != config::server_state::active) {
+            continue;
+        }
+        const auto pause = source.pauses.find({server->id, work.id.issuer});
+        if (pause == source.pauses.end() || pause->second <= now) {
+            return std::nullopt;
+        }
+        first = std::min(first.value_or(pause->second), pause->second);
+    }
+    return first;
+}
+
 /// Whether some server that a request need not avoid could serve it.
 bool has_alternative(const scheduler& source, const work_item& work) {
     const auto& servers = detail::servers_for(source, work.model);
@@ -124,6 +144,22 @@
     }
 }
 
+/// Refuses what waits for models that no server offers any more.
+void refuse_stranded(scheduler& target, time_point now, std::vector<effect>& effects) {
+    std::vector<request_id> stranded;
+    for (const auto& [id, model] : target.queued_model) {
+        if (!has_server(target, model)) {
+            stranded.push_back(id);
+        }
+    }
+    for (const auto& id : stranded) {
+        const auto item = detail::remove_queued(target, id);
+        note_left(target, item->work, now);
+        effects.emplace_back(
+            refuse{.id = id, .why = reason::no_server, .retry_after = std::chrono::seconds{1}});
+    }
+}
+
 // One overload of `handle` for each event.
 
 void handle(scheduler& target, const arrived& what, time_point now, std::vector<effect>& effects) {
@@ -141,6 +177,11 @@
             .id = work.id, .why = reason::no_server, .retry_after = std::chrono::seconds{2}});
         return;
     }
+    if (const auto until = paused_until(target, work, now)) {
+        effects.emplace_back(
+            refuse{.id = work.id, .why = reason::overloaded, .retry_after = *until - now});
+        return;
+    }
     ++target.in_system[work.workspace];
     if (is_top(work)) {
         update_peak(pool_of(target, work.model).top_tier, +1,
@@ -326,19 +367,7 @@
     for (const auto& limit : what.limits) {
         target.limits.emplace(workspace_id{hash_name(limit.workspace)}, limit.max_in_system);
     }
-    std::vector<request_id> stranded;
-    for (const auto& [id, model] : target.queued_model) {
-        if (!has_server(target, model)) {
-            stranded.push_back(id);
-        }
-    }
-    std::sort(stranded.begin(), stranded.end());
-    for (const auto& id : stranded) {
-        const auto item = detail::remove_queued(target, id);
-        note_left(target, item->work, now);
-        effects.emplace_back(
-            refuse{.id = id, .why = reason::no_server, .retry_after = std::chrono::seconds{1}});
-    }
+    refuse_stranded(target, now, effects);
     detail::dispatch_ready(target, now, effects);
 }
 
@@ -389,6 +418,37 @@
     target.running.emplace(what.work.id, std::move(running));
 }
 
+void handle(scheduler& target, const server_leaves& what, time_point now,
+            std::vector<effect>& effects) {
+    const auto found = target.servers.find(what.server);
+    if (found == target.servers.end()) {
+        return;
+    }
+    found->second.state = config::server_state::draining;
+    refuse_stranded(target, now, effects);
+}
+
+void handle(scheduler& target, const server_paused& what, time_point now,
+            std::vector<effect>& effects) {
+    std::erase_if(target.pauses, [&](const auto& item) { return item.second <= now; });
+    target.pauses.insert_or_assign({what.server, what.holder}, what.until);
+    std::vector<std::pair<request_id, duration>> refused;
+    for (const auto& [id, model] : target.queued_model) {
+        if (id.issuer != what.holder) {
+            continue;
+        }
+        const auto until = paused_until(target, target.pools.at(model).queue.find(id)->work, now);
+        if (until) {
+            refused.emplace_back(id, *until - now);
+        }
+    }
+    for (const auto& [id, pause] : refused) {
+        const auto item = detail::remove_queued(target, id);
+        note_left(target, item->work, now);
+        effects.emplace_back(refuse{.id = id, .why = reason::overloaded, .retry_after = pause});
+    }
+}
+
 void handle(scheduler& target, const ticked&, time_point now, std::vector<effect>& effects) {
     detail::dispatch_ready(target, now, effects);
     detail::give_up_late(target, now, effects);
--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -102,7 +102,7 @@
     if (metrics_server_) {
         metrics_server_->start();
     }
-    thread_ = std::thread([this] { context_.run(); });
+    thread_ = std::thread([this] { run_guarded(context_); });
     log_start(settings_, "control");
     return {};
 }
@@ -232,12 +232,24 @@
         reply({});
         return;
     }
+    if (question->notice) {
+        take_notice(*question->notice);
+    }
     desk_->ask(question->work, question->earlier,
                [reply = std::move(reply)](const dispatch::verdict& what) {
                    reply({.known = true, .payload = pack(what)});
                });
 }
 
+void control_instance::take_notice(const dispatch::server_notice& notice) {
+    if (!desk_->note(notice) || notice.pause) {
+        return;
+    }
+    telemetry::write(telemetry::log_line("server_leaves")
+                         .add("server", static_cast<std::int64_t>(notice.server.value))
+                         .add("told_by", settings::instance_address(notice.holder)));
+}
+
 void control_instance::on_question(instance_id, wire::topic about, std::string payload,
                                    std::function<void(wire::answer)> reply) {
     switch (about) {
@@ -258,6 +270,13 @@
             }
         });
         return; // needs no answer
+    case wire::topic::server_notice:
+        asio::post(context_, [this, payload = std::move(payload)] {
+            if (const auto notice = unpack_notice(payload)) {
+                take_notice(*notice);
+            }
+        });
+        return; // needs no answer
     default:
         control_->on_question(about, payload, std::move(reply));
     }
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -287,7 +287,10 @@
 void control_link::ask_scheduler(const open_question& question) {
     const auto asked = *scheduler_;
     node_.ask(asked, wire::topic::grant,
-              pack(grant_question{.work = question.work, .earlier = question.earlier}, now()),
+              pack(grant_question{.work = question.work,
+                                  .earlier = question.earlier,
+                                  .notice = question.notice},
+                   now()),
               [self = shared_from_this(), id = question.work.id, number = question.asked,
                asked](std::optional<wire::answer> said) {
                   asio::post(self->context_, [self, id, number, asked, said] {
@@ -307,11 +310,40 @@
     const auto found = questions_.find(id);
     const auto* given = what ? std::get_if<dispatch::grant>(&*what) : nullptr;
     if (given != nullptr && found != questions_.end() && found->second.asked == asked) {
+        if (const auto notice = own_desk_->find_notice(given->server, self_)) {
+            return_grant(found->second, *given, *notice);
+            return;
+        }
         own_desk_->note_elsewhere(found->second.work, given->server);
     }
     take_verdict(id, asked, what);
 }
 
+void control_link::return_grant(open_question& question, const dispatch::grant& given,
+                                const dispatch::server_notice& notice) {
+    telemetry::write(telemetry::log_line("grant_returned")
+                         .add("request", static_cast<std::int64_t>(question.work.id.sequence))
+                         .add("server", given.server_name)
+                         .add("cause", notice.pause ? "server_pauses" : "server_leaves"));
+    question.earlier = dispatch::earlier_grant::unused;
+    question.notice = notice;
+    send_question(question);
+}
+
+void control_link::note(const dispatch::server_notice& notice) {
+    const auto fresh = own_desk_->note(notice);
+    if (!fresh) {
+        return;
+    }
+    telemetry::write(telemetry::log_line("server_notice")
+                         .add("server", static_cast<std::int64_t>(notice.server.value))
+                         .add("pause_ms", notice.pause ? to_milliseconds(*notice.pause) : -1));
+    if (scheduler_) {
+        node_.ask(*scheduler_, wire::topic::server_notice, pack(notice),
+                  [](std::optional<wire::answer>) {}); // a question with the notice repeats it
+    }
+}
+
 void control_link::ask_own_desk(const open_question& question) {
     own_desk_->ask(question.work, question.earlier,
                    [self = shared_from_this(), id = question.work.id, number = question.asked](
--- a/src/gateway/desk_service.cpp
+++ b/src/gateway/desk_service.cpp
@@ -65,6 +65,18 @@
     carry_out(made);
 }
 
+bool desk_service::note(const dispatch::server_notice& notice) {
+    std::vector<dispatch::decision> made;
+    const auto fresh = dispatch::note(desk_, notice, now(), made);
+    carry_out(made);
+    return fresh;
+}
+
+std::optional<dispatch::server_notice> desk_service::find_notice(server_id server,
+                                                                 instance_id holder) const {
+    return dispatch::find_notice(desk_, server, holder, now());
+}
+
 void desk_service::resume_quotas(duration window) {
     dispatch::resume_quotas(desk_, window, now());
 }
@@ -93,6 +105,8 @@
     dispatch::grant_desk fresh;
     fresh.decisions.options = desk_.decisions.options;
     fresh.quotas = std::move(desk_.quotas);
+    fresh.leaving = std::move(desk_.leaving);
+    fresh.decisions.pauses = std::move(desk_.decisions.pauses);
     desk_ = std::move(fresh);
     return left;
 }
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -112,7 +112,7 @@
         know_enough_.expires_after(first_news_patience);
         link_->start();
     });
-    thread_ = std::thread([this] { context_.run(); });
+    thread_ = std::thread([this] { run_guarded(context_); });
     log_start(settings_, "entry");
     return {};
 }
--- a/src/gateway/plumbing.cpp
+++ b/src/gateway/plumbing.cpp
@@ -6,6 +6,16 @@
 
 namespace tarragonspar::gateway {
 
+void run_guarded(boost::asio::io_context& context) {
+    while (!context.stopped()) {
+        try {
+            context.run();
+        } catch (const std::exception& error) {
+            telemetry::write(telemetry::log_line("unexpected_error").add("what", error.what()));
+        }
+    }
+}
+
 wire::node_options make_node_options(const settings::instance_settings& from) {
     wire::node_options options;
     options.self = from.id;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -58,10 +58,6 @@
     return head.status == status_ok && head.header("Content-Type").starts_with("text/event-stream");
 }
 
-std::int64_t millis(duration value) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
-
 /// Blocks of a prompt that are told to the scheduler. Remembering prompts of thousands of tokens
 /// block by block took a fifth of its time; two thousand tokens tell where a session was before.
 constexpr std::size_t max_told_blocks = 32;
@@ -179,6 +175,19 @@
     });
 }
 
+void entry_instance::take_notices(relayed_request& request, const answer_marks& marks) {
+    dispatch::server_notice notice{
+        .server = request.running_at->server, .holder = settings_.id, .pause = std::nullopt};
+    if (marks.server_leaves) {
+        link_->note(notice);
+    }
+    request.server_pause = marks.wanted_pause;
+    if (marks.wanted_pause) {
+        notice.pause = marks.wanted_pause;
+        link_->note(notice);
+    }
+}
+
 asio::awaitable<void> entry_instance::handle(http::exchange& with) {
     const auto arrival = now();
     if (!knows_enough()) {
@@ -306,7 +315,11 @@
         co_return attempt_end::failed;
     }
     const auto marks = speaks_->read_marks(*head);
-    if (marks.not_executed || head->status == status_misdirected) {
+    take_notices(*request, marks);
+    // A refusal of another request says nothing about this one.
+    const auto is_foreign =
+        !marks.request_name.empty() && marks.request_name != request->caller.name;
+    if (!is_foreign && (marks.not_executed || head->status == status_misdirected)) {
         request->may_have_run = ran_before;
         co_return attempt_end::not_executed;
     }
@@ -499,7 +512,7 @@
         out =
             make_refusal(status_unavailable,
                          request->timed_out ? "no server was free in time" : "the servers are full",
-                         {}, random_);
+                         request->server_pause.value_or(duration{}), random_);
     }
     request->status = out.status;
     co_await with.respond(std::move(out));
@@ -508,7 +521,8 @@
 void entry_instance::note_finished(const relayed_request& request) {
     const auto ended = now();
     const auto since_arrival = [&](time_point moment) {
-        return moment == time_point{} ? std::int64_t{-1} : millis(moment - request.work.arrival);
+        return moment == time_point{} ? std::int64_t{-1}
+                                      : to_milliseconds(moment - request.work.arrival);
     };
     const auto* refused =
         request.verdict ? std::get_if<dispatch::refusal>(&*request.verdict) : nullptr;
@@ -551,9 +565,9 @@
             .add("unreachable", request.unreachable)
             .add("wait_ms", since_arrival(request.granted))
             .add("first_event_ms", since_arrival(request.first_event))
-            .add("total_ms", millis(ended - request.work.arrival))
+            .add("total_ms", to_milliseconds(ended - request.work.arrival))
             .add("objective_ms", since_arrival(request.work.objective))
-            .add("allowed_ms", millis(request.work.deadline - request.work.arrival))
+            .add("allowed_ms", to_milliseconds(request.work.deadline - request.work.arrival))
             .add("prompt_tokens", request.work.prompt.value)
             .add("max_output", request.work.max_output.value)
             .add("expected_output", request.work.expected_output.value)
--- a/src/gateway/reports.cpp
+++ b/src/gateway/reports.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "tarragonspar/telemetry/log.hpp"
 #include "tarragonspar/types/cbor.hpp"
 #include "tarragonspar/wire/codec.hpp"
 
@@ -15,13 +16,15 @@
 /// between two reads of it.
 constexpr duration min_age_gain = std::chrono::milliseconds{200};
 
-/// Reads a value; nothing when the bytes have another form.
+/// Reads a value; nothing when the bytes have another form, whatever the reader throws then: an
+/// unknown name of an enumerator is no JSON error.
 template <class Read>
 auto read_cbor(const std::string& bytes, Read read)
     -> std::optional<decltype(read(std::declval<const json&>()))> {
     try {
         return read(json::from_cbor(bytes));
-    } catch (const json::exception&) {
+    } catch (const std::exception& error) {
+        telemetry::write(telemetry::log_line("message_unreadable").add("why", error.what()));
         return std::nullopt;
     }
 }
@@ -34,6 +37,21 @@
     return out;
 }
 
+json notice_to_json(const dispatch::server_notice& value) {
+    return json::array({value.server.value, value.holder.value,
+                        value.pause ? json(value.pause->count()) : json()});
+}
+
+dispatch::server_notice read_notice(const json& in) {
+    dispatch::server_notice value{.server = {in.at(0).get<std::uint32_t>()},
+                                  .holder = {in.at(1).get<std::uint32_t>()},
+                                  .pause = std::nullopt};
+    if (!in.at(2).is_null()) {
+        value.pause = duration{in.at(2).get<duration::rep>()};
+    }
+    return value;
+}
+
 json id_of(const request_id& id) {
     return json::array({id.issuer.value, id.issued_in.value, id.sequence});
 }
@@ -123,21 +141,34 @@
 }
 
 std::string pack(const grant_question& value, time_point now) {
-    return cbor::encode(json::array(
-        {static_cast<std::uint8_t>(value.earlier), cbor::binary(wire::pack(value.work, now))}));
+    return cbor::encode(json::array({static_cast<std::uint8_t>(value.earlier),
+                                     cbor::binary(wire::pack(value.work, now)),
+                                     value.notice ? notice_to_json(*value.notice) : json()}));
 }
 
 std::optional<grant_question> unpack_question(const std::string& bytes, time_point now) {
     const auto read = read_cbor(bytes, [&](const json& in) {
         const auto work = wire::unpack_work(cbor::bytes_of(in.at(1)), now);
         const auto earlier = in.at(0).get<std::uint8_t>();
+        const auto& notice = in.at(2);
         return work ? std::optional{grant_question{
-                          .work = *work, .earlier = static_cast<dispatch::earlier_grant>(earlier)}}
+                          .work = *work,
+                          .earlier = static_cast<dispatch::earlier_grant>(earlier),
+                          .notice = notice.is_null() ? std::optional<dispatch::server_notice>{}
+                                                     : read_notice(notice)}}
                     : std::nullopt;
     });
     return read ? *read : std::nullopt;
 }
 
+std::string pack(const dispatch::server_notice& value) {
+    return cbor::encode(notice_to_json(value));
+}
+
+std::optional<dispatch::server_notice> unpack_notice(const std::string& bytes) {
+    return read_cbor(bytes, read_notice);
+}
+
 std::string pack(const dispatch::verdict& value) {
     if (const auto* given = std::get_if<dispatch::grant>(&value)) {
         return cbor::encode(
--- a/src/runtime/control_group.cpp
+++ b/src/runtime/control_group.cpp
@@ -27,6 +27,16 @@
 /// Voters below which none is removed: two of three still decide.
 constexpr std::size_t min_voters = 4;
 
+/// A document from another instance; nothing when the bytes have another form.
+std::optional<config::document> read_document(const std::string& bytes) {
+    try {
+        return json::from_cbor(bytes).get<config::document>();
+    } catch (const json::exception& error) {
+        telemetry::write(telemetry::log_line("message_unreadable").add("why", error.what()));
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
 void control_service::listen(document_listener on_document, group_listener on_group) {
@@ -186,15 +196,14 @@
             self->read_here(done);
             return;
         }
-        self->node_.ask(
-            *leader, wire::topic::published, "", [done](std::optional<wire::answer> answer) {
-                if (!answer || !answer->known) {
-                    done(std::nullopt);
-                    return;
-                }
-                const auto in = json::from_cbor(answer->payload, true, false);
-                done(in.is_array() ? std::optional{in.get<config::document>()} : std::nullopt);
-            });
+        self->node_.ask(*leader, wire::topic::published, "",
+                        [done](std::optional<wire::answer> answer) {
+                            if (!answer || !answer->known) {
+                                done(std::nullopt);
+                                return;
+                            }
+                            done(read_document(answer->payload));
+                        });
     });
 }
 
--- a/src/settings/instance_settings.cpp
+++ b/src/settings/instance_settings.cpp
@@ -288,7 +288,7 @@
         map_reader root(YAML::Load(text), "", result.faults);
         read_root(root, result.value);
         root.finish();
-    } catch (const YAML::ParserException& error) {
+    } catch (const YAML::Exception& error) {
         result.faults.push_back({.line = error.mark.line + 1,
                                  .column = error.mark.column + 1,
                                  .path = {},
@@ -322,7 +322,7 @@
         map_reader root(YAML::Load(text), "", result.faults);
         detail::read_configuration(root, result.value);
         root.finish();
-    } catch (const YAML::ParserException& error) {
+    } catch (const YAML::Exception& error) {
         result.faults.push_back({.line = error.mark.line + 1,
                                  .column = error.mark.column + 1,
                                  .path = {},
--- a/src/wire/instance_server.cpp
+++ b/src/wire/instance_server.cpp
@@ -152,7 +152,7 @@
     const auto data = in.getPayload();
     const auto about = static_cast<topic>(in.getTopic());
     std::string payload(reinterpret_cast<const char*>(data.begin()), data.size());
-    if (about == topic::grant_news) {
+    if (about == topic::grant_news || about == topic::server_notice) {
         // Nobody waits for what this says, and two of three questions to a leader are of this kind:
         // an answer handed over from another thread would cost as much as the question.
         home_.handles().on_question(from, about, std::move(payload), [](const answer&) {});
--- a/tests/unit-control_link.cpp
+++ b/tests/unit-control_link.cpp
@@ -98,3 +98,23 @@
     // Told again and again to instances that rightly kept their own, it took the leader's time.
     EXPECT_FALSE(told(mark + 1, milliseconds{0})) << "has a younger one";
 }
+
+// Between the answer of a server that leaves and the next list some seconds pass, and nobody but
+// this instance may know.
+TEST(ControlLink, AServerThatSaidItLeavesIsLeftOutUntilItStartsAnew) {
+    fixture f;
+    f.link->set_servers({make_server(1)}, milliseconds{100});
+    f.link->note(dispatch::server_notice{.server = {1}, .holder = {1}});
+    f.link->set_servers({make_server(1), make_server(2)}, milliseconds{0});
+    EXPECT_EQ(f.granted(), "i-2");
+    EXPECT_EQ(f.granted(), "i-2");
+}
+
+TEST(ControlLink, AServerThatAskedForAPauseIsLeftOut) {
+    fixture f;
+    f.link->set_servers({make_server(1), make_server(2)}, milliseconds{100});
+    f.link->note(
+        dispatch::server_notice{.server = {1}, .holder = {1}, .pause = std::chrono::seconds{30}});
+    EXPECT_EQ(f.granted(), "i-2");
+    EXPECT_EQ(f.granted(), "i-2");
+}
--- /dev/null
+++ b/tests/unit-departures.cpp
@@ -0,0 +1,55 @@
+#include <gtest/gtest.h>
+
+#include "tarragonspar/dispatch/departures.hpp"
+
+namespace {
+
+using namespace tarragonspar;
+using config::server_state;
+
+constexpr server_id a{1};
+
+std::vector<config::server> list_of(server_state state, std::uint64_t started_at_ms = 0) {
+    config::server one{.id = a, .name = "a", .state = state};
+    one.started_at_ms = started_at_ms;
+    return {one};
+}
+
+server_state state_after(dispatch::departures& known, std::vector<config::server> listed) {
+    known.apply(listed);
+    return listed.front().state;
+}
+
+} // namespace
+
+// The list lags by most of a second, and an instance that led before may tell an older one.
+TEST(Departures, AListThatStillSaysReadyTakesNoServerBack) {
+    dispatch::departures known;
+    EXPECT_EQ(state_after(known, list_of(server_state::active)), server_state::active);
+    EXPECT_TRUE(known.note(a, time_point{}));
+    EXPECT_FALSE(known.note(a, time_point{})) << "told again by each answer";
+    EXPECT_EQ(state_after(known, list_of(server_state::active)), server_state::draining);
+    EXPECT_EQ(state_after(known, list_of(server_state::active)), server_state::draining);
+}
+
+TEST(Departures, AServerThatTheListShowedAsLeavingComesBackAsANewStart) {
+    dispatch::departures known;
+    known.note(a, time_point{});
+    EXPECT_EQ(state_after(known, list_of(server_state::draining)), server_state::draining);
+    EXPECT_EQ(state_after(known, list_of(server_state::active)), server_state::active);
+    EXPECT_FALSE(known.contains(a));
+    known.note(a, time_point{});
+    std::vector<config::server> gone;
+    known.apply(gone);
+    EXPECT_EQ(state_after(known, list_of(server_state::active)), server_state::active);
+}
+
+TEST(Departures, WhereStartsAreToldOnlyAnotherStartCounts) {
+    dispatch::departures known;
+    static_cast<void>(state_after(known, list_of(server_state::active, 1'000)));
+    known.note(a, time_point{});
+    EXPECT_EQ(state_after(known, list_of(server_state::draining, 1'000)), server_state::draining);
+    EXPECT_EQ(state_after(known, list_of(server_state::active, 1'000)), server_state::draining)
+        << "an older list that comes late";
+    EXPECT_EQ(state_after(known, list_of(server_state::active, 2'000)), server_state::active);
+}
--- a/tests/unit-grant_desk.cpp
+++ b/tests/unit-grant_desk.cpp
@@ -68,6 +68,12 @@
         take(made);
     }
 
+    void notice(const server_notice& what) {
+        std::vector<decision> made;
+        static_cast<void>(note(desk, what, now, made));
+        take(made);
+    }
+
     void report(const holder_report& what) {
         std::vector<decision> made;
         reconcile(desk, what, now, made);
@@ -123,6 +129,82 @@
     EXPECT_FALSE(f.granted.contains(2));
 }
 
+// A server that leaves says so seconds before the list does.
+TEST(GrantDesk, AServerThatSaysItLeavesGetsNothingWhateverTheListSays) {
+    fixture f({make_server(1, 4), make_server(2, 4)});
+    f.ask(f.make(1, 0));
+    const auto leaving = f.granted.at(1).server;
+    f.notice({.server = leaving, .holder = {1}});
+    std::vector<decision> made;
+    set_servers(f.desk, {make_server(1, 4), make_server(2, 4)}, f.now, made);
+    for (std::uint64_t sequence = 2; sequence <= 5; ++sequence) {
+        f.ask(f.make(sequence, 0, 2));
+        ASSERT_TRUE(f.granted.contains(sequence));
+        EXPECT_NE(f.granted.at(sequence).server, leaving);
+    }
+}
+
+TEST(GrantDesk, WhatWaitsForTheLastServerIsRefusedWhenThatLeaves) {
+    fixture f({make_server(1)});
+    f.ask(f.make(1, 0));
+    f.ask(f.make(2, 0));
+    f.notice({.server = {1}, .holder = {1}});
+    EXPECT_EQ(f.refused.at(2).why, reason::no_server);
+    EXPECT_GT(f.refused.at(2).retry_after, duration{});
+}
+
+TEST(GrantDesk, AServerThatAsksAHolderForAPauseGetsNothingFromThatHolder) {
+    fixture f({make_server(1, 4), make_server(2, 4)});
+    f.notice({.server = {1}, .holder = {1}, .pause = std::chrono::seconds{2}});
+    for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+        f.ask(f.make(sequence, 0, 1));
+        EXPECT_EQ(f.granted.at(sequence).server, server_id{2});
+    }
+    f.ask(f.make(4, 0, 7));
+    EXPECT_EQ(f.granted.at(4).server, server_id{1}) << "another holder is welcome";
+    f.now += milliseconds{2'100};
+    f.ask(f.make(5, 0, 1));
+    EXPECT_EQ(f.granted.at(5).server, server_id{1});
+}
+
+TEST(GrantDesk, WhereAllServersWantAPauseTheShortestIsToldAtOnce) {
+    fixture f({make_server(1, 4), make_server(2, 1)});
+    f.notice({.server = {1}, .holder = {1}, .pause = std::chrono::seconds{3}});
+    f.ask(f.make(1, 0, 1));
+    f.ask(f.make(2, 0, 1));
+    EXPECT_FALSE(f.granted.contains(2) || f.refused.contains(2)) << "waits for the other one";
+    f.notice({.server = {2}, .holder = {1}, .pause = milliseconds{700}});
+    EXPECT_EQ(f.refused.at(2).retry_after, milliseconds{700});
+    f.ask(f.make(3, 0, 1));
+    EXPECT_EQ(f.refused.at(3).retry_after, milliseconds{700});
+}
+
+TEST(GrantDesk, AnAbsurdPauseEnds) {
+    fixture f({make_server(1, 4)});
+    f.notice({.server = {1}, .holder = {1}, .pause = std::chrono::hours{24 * 365}});
+    f.now += std::chrono::seconds{61};
+    f.ask(f.make(1, 0));
+    EXPECT_TRUE(f.granted.contains(1));
+}
+
+// The holder may know what the desk does not know yet.
+TEST(GrantDesk, AGrantThatCameBackUnusedIsAskedForAgainAndChargedOnce) {
+    fixture f({make_server(1, 1), make_server(2, 1)});
+    admission::set_limits(f.desk.quotas, {{workspace_id{3}, {.units_per_second = 10, .burst = 10}}},
+                          f.now);
+    auto work = f.make(1, 0);
+    work.workspace = {3};
+    work.quota_units = 10;
+    f.ask(work);
+    const auto leaving = f.granted.at(1).server;
+    f.notice({.server = leaving, .holder = {1}});
+    f.ask(work, earlier_grant::unused);
+    ASSERT_TRUE(f.granted.contains(1)) << "one request is charged once";
+    EXPECT_NE(f.granted.at(1).server, leaving);
+    EXPECT_TRUE(routing::allows(f.desk.decisions.servers.at(leaving).breaker, f.now));
+    EXPECT_EQ(f.desk.decisions.servers.at(leaving).in_flight, 0U);
+}
+
 // A lost grant must not keep its slot for ever: the holder's reports don't list it.
 TEST(GrantDesk, AGrantThatItsHolderDoesNotKnowIsTakenBack) {
     fixture f({make_server(1)});
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -175,3 +175,24 @@
     EXPECT_NE(fault({{"Host", "a"}, {"Content-Length", "3"}, {"Content-Length", "4"}}), "");
     EXPECT_NE(fault({{"Host", "a"}}, "http://b/a"), "");
 }
+
+TEST(Platform, ReadsWhatAServerSaysAboutItself) {
+    const platform::platform_dialect speaks;
+    const auto marks_of = [&](unsigned status, http::header_list headers) {
+        return speaks.read_marks({.status = status, .headers = std::move(headers)});
+    };
+    EXPECT_TRUE(marks_of(200, {{"Server-Leaving", "1"}}).server_leaves);
+    EXPECT_TRUE(marks_of(503, {{"server-leaving", "1"}, {"Not-Executed", "1"}}).server_leaves);
+    EXPECT_FALSE(marks_of(200, {{"Connection", "close"}}).server_leaves);
+    const auto pause = [&](unsigned status, const std::string& value) {
+        return marks_of(status, {{"Retry-After", value}}).wanted_pause;
+    };
+    EXPECT_EQ(pause(503, "2"), duration{std::chrono::seconds{2}});
+    EXPECT_EQ(pause(503, "0.25"), duration{std::chrono::milliseconds{250}});
+    EXPECT_FALSE(pause(429, "2")) << "speaks of the caller's quota";
+    for (const auto* absurd :
+         {"", "-1", "0", "nan", "inf", "soon", "1e", "2s", "Wed, 21 Oct 2015 07:28:00 GMT"}) {
+        EXPECT_FALSE(pause(503, absurd)) << absurd;
+    }
+    EXPECT_LE(to_seconds(*pause(503, "99999999999999999999")), 1e6);
+}
