Bytes that are no answer end; progress of a stream is events with data

Cause, read from the code and shown by stand-in servers: heads were bounded in bytes only, interim answers not at all; extensions of chunks, trailers and a single event could grow without end; a stream that sent a byte now and then went on to its deadline. Change: a call bounds its unread bytes, the time from a head's first byte to its end and the number of interim answers; an event of more than 1 MiB, or an answer that is no stream of more than 64 MiB, ends the attempt as "may have run". The project's own client of engines has the same bounds, 20 s without an event for its own streams. The splitter no longer searches an unfinished event from its beginning.

--- a/include/tarragonspar/config/catalogue.hpp
+++ b/include/tarragonspar/config/catalogue.hpp
@@ -40,6 +40,7 @@
     tier urgency;
     std::chrono::milliseconds timeout{};           ///< longest time before the final answer
     std::chrono::milliseconds latency_objective{}; ///< to the answer, or to its first event
+    std::chrono::milliseconds pause_objective{};   ///< longest pause between events of an answer
     std::uint32_t max_attempts{1};                 ///< backend servers that one request may reach
     bool anonymous_allowed{false};                 ///< needs no workspace key
     std::vector<weighted_service> services;
@@ -122,6 +123,11 @@
 /// @param draw  a random number; equal draws give equal choices
 [[nodiscard]] const std::string& choose_service(const route& from, std::uint64_t draw);
 
+/// @brief Time without an event after which callers leave a route's streams, also before the first
+/// event: two seconds, four times the latency objective or eight times the longest pause, whichever
+/// is longest, as the users state it.
+[[nodiscard]] std::chrono::milliseconds caller_patience(const route& value) noexcept;
+
 /// @brief Whether a request may run a second time.
 [[nodiscard]] bool is_idempotent(const route& value) noexcept;
 
--- a/include/tarragonspar/gateway/entry_instance.hpp
+++ b/include/tarragonspar/gateway/entry_instance.hpp
@@ -66,6 +66,8 @@
                                     http::reply& refused);
     void fill_work(relayed_request& request);
     void watch(const request_ptr& request, http::exchange& with);
+    void watch_progress(const request_ptr& request);
+    static void await_progress(const request_ptr& request);
     void take_notices(relayed_request& request, const answer_marks& marks);
     boost::asio::awaitable<void> relay(request_ptr request, http::exchange& with);
     boost::asio::awaitable<bool> wait_for_grant(request_ptr request,
--- a/include/tarragonspar/gateway/relayed_request.hpp
+++ b/include/tarragonspar/gateway/relayed_request.hpp
@@ -26,7 +26,7 @@
 /// @brief A caller's request while it is open; used on the entry instance's thread only.
 struct relayed_request {
     relayed_request(boost::asio::any_io_executor executor, caller_request from)
-        : caller(std::move(from)), wake(executor), limit(executor) {}
+        : caller(std::move(from)), wake(executor), limit(executor), quiet(executor) {}
 
     caller_request caller;
     std::shared_ptr<const config::catalogue_index> catalogue;
@@ -41,6 +41,9 @@
 
     boost::asio::steady_timer wake;  ///< cancelled when something below changes
     boost::asio::steady_timer limit; ///< ends the request at its deadline
+    boost::asio::steady_timer quiet; ///< ends an attempt that makes no progress
+    time_point progressed{};         ///< start of the attempt, or its last event
+    duration max_quiet{};            ///< time without progress that ends the attempt
     std::optional<dispatch::verdict> verdict;
     bool gone{false};      ///< the caller closed its connection
     bool timed_out{false}; ///< the deadline has passed
--- a/include/tarragonspar/http/backend_call.hpp
+++ b/include/tarragonspar/http/backend_call.hpp
@@ -25,8 +25,13 @@
     std::chrono::milliseconds connect_timeout{200};
     /// Time without any sign of life, after which a server counts as lost.
     std::chrono::milliseconds silence_timeout{2'500};
+    /// Time from the first byte of a head to its end: heads are written at once, so many round
+    /// trips are enough for a lost packet or two.
+    std::chrono::milliseconds head_timeout{2'000};
     std::size_t max_header_bytes{64 * 1024};
     std::size_t read_bytes{16 * 1024}; ///< bytes of a body that one read takes
+    /// Interim responses before the final one; servers send one or two.
+    int max_interim_responses{8};
 };
 
 /// @brief Status and headers of an answer.
@@ -63,10 +68,12 @@
     void send(std::string method, std::string target, header_list headers, std::string body);
 
     /// @brief Reads status and headers; interim responses are passed over.
-    /// @return nothing if the connection is lost or the bytes are not HTTP
+    /// @return nothing if the connection is lost, the bytes are not HTTP, or the head exceeds its
+    /// bounds in bytes, time or interim responses
     boost::asio::awaitable<std::optional<answer_head>> read_head();
 
-    /// @brief Reads on; waits for the next bytes or the end.
+    /// @brief Reads on; waits for the next bytes or the end. What is no body, such as extensions
+    /// of chunks and trailers, is bounded in size like a head.
     boost::asio::awaitable<body_part> read_body();
 
     /// @brief Ends the connection, which also ends the work at most servers.
@@ -75,6 +82,8 @@
 private:
     using request_type = beast_http::request<beast_http::string_body>;
 
+    boost::asio::awaitable<bool> read_one_head();
+
     backend_call_options options_;
     boost::asio::ip::tcp::socket socket_;
     boost::beast::flat_buffer buffer_;
--- a/include/tarragonspar/http/detail/engine_stream.hpp
+++ b/include/tarragonspar/http/detail/engine_stream.hpp
@@ -36,6 +36,11 @@
     /// @brief Takes the data of the next whole event; comments are passed over.
     [[nodiscard]] std::optional<std::string> next();
 
+    /// @brief Bytes that belong to no event taken so far.
+    [[nodiscard]] std::size_t unfinished() const noexcept {
+        return buffer_.size() - begin_;
+    }
+
 private:
     std::string buffer_;
     std::size_t begin_{};
--- a/include/tarragonspar/http/engine_client.hpp
+++ b/include/tarragonspar/http/engine_client.hpp
@@ -18,9 +18,13 @@
 struct engine_client_options {
     std::chrono::milliseconds connect_timeout{500};
     std::chrono::milliseconds silence_timeout{2500}; ///< without a byte, a stream counts as silent
-    std::chrono::milliseconds resume_pause{100};     ///< before the second and later resumptions
-    int max_resumptions{6};                          ///< in a row without progress
+    /// Without an event, a stream is resumed even if other bytes come, such as comments: long
+    /// enough for an engine that preempts a request and reads it again.
+    std::chrono::milliseconds stall_timeout{20'000};
+    std::chrono::milliseconds resume_pause{100}; ///< before the second and later resumptions
+    int max_resumptions{6};                      ///< in a row without progress
     std::size_t max_body_bytes{8 * 1024 * 1024};
+    std::size_t max_event_bytes{1024 * 1024}; ///< of one event that has not ended
     std::chrono::milliseconds service_timeout{30'000};
 };
 
--- a/src/config/catalogue.cpp
+++ b/src/config/catalogue.cpp
@@ -120,6 +120,14 @@
     return from.services.back().name;
 }
 
+std::chrono::milliseconds caller_patience(const route& value) noexcept {
+    constexpr std::chrono::milliseconds shortest{2'000};
+    constexpr int objectives = 4;
+    constexpr int pauses = 8;
+    return std::max(
+        {shortest, objectives * value.latency_objective, pauses * value.pause_objective});
+}
+
 bool is_idempotent(const route& value) noexcept {
     return value.kind == request_kind::safe ||
            (value.kind == request_kind::streaming && value.resumable);
--- a/src/dispatch/departures.cpp
+++ b/src/dispatch/departures.cpp
@@ -53,9 +53,10 @@
 }
 
 void departures::forget_oldest() {
-    const auto oldest = std::min_element(
-        leaving_.begin(), leaving_.end(),
-        [](const auto& a, const auto& b) { return a.second.noted < b.second.noted; });
+    const auto oldest =
+        std::min_element(leaving_.begin(), leaving_.end(), [](const auto& a, const auto& b) {
+            return a.second.noted < b.second.noted;
+        });
     leaving_.erase(oldest);
 }
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -32,6 +32,14 @@
 constexpr std::uint32_t max_unreachable = 6;
 /// Largest answer that is held until it is whole; what is longer is passed on as it comes.
 constexpr std::size_t max_held_answer = 1024 * 1024;
+/// Largest answer that is no event stream: many times what services answer, so that what is larger
+/// has no end.
+constexpr std::size_t max_answer = 64 * 1024 * 1024;
+/// Largest single event: some thousand tokens are some tens of kilobytes.
+constexpr std::size_t max_event = 1024 * 1024;
+/// Part of a caller's patience after which a quiet stream is continued at another server: what is
+/// left of it is enough for that one's first event.
+constexpr int quiet_parts = 2;
 /// Time that must be left for another attempt to make sense.
 constexpr duration min_attempt_time = std::chrono::milliseconds{50};
 /// When to come back after a refusal that has no better estimate: a few service times.
@@ -175,6 +183,39 @@
     });
 }
 
+// Progress is events, not bytes: a stalled server may go on sending bytes, and a sound one may
+// pause for as long as callers wait.
+void entry_instance::watch_progress(const request_ptr& request) {
+    if (request->route->kind != config::request_kind::streaming) {
+        return; // has no progress before its end; its deadline bounds it
+    }
+    const auto patience = config::caller_patience(*request->route);
+    const auto may_go_on =
+        request->work.idempotent && request->attempts < request->route->max_attempts;
+    request->max_quiet = may_go_on ? patience / quiet_parts : patience;
+    request->progressed = now();
+    await_progress(request);
+}
+
+void entry_instance::await_progress(const request_ptr& request) {
+    request->quiet.expires_after(request->progressed + request->max_quiet - now());
+    request->quiet.async_wait([request](boost::system::error_code error) {
+        if (error || !request->call) {
+            return;
+        }
+        if (now() - request->progressed < request->max_quiet) {
+            await_progress(request);
+            return;
+        }
+        telemetry::write(telemetry::log_line("server_quiet")
+                             .add("id", request->caller.name)
+                             .add("server", request->running_at->server_name)
+                             .add("events", request->events)
+                             .add("quiet_ms", to_milliseconds(request->max_quiet)));
+        request->call->close();
+    });
+}
+
 void entry_instance::take_notices(relayed_request& request, const answer_marks& marks) {
     dispatch::server_notice notice{
         .server = request.running_at->server, .holder = settings_.id, .pause = std::nullopt};
@@ -223,6 +264,7 @@
             break;
         }
         last = co_await attempt(request, with);
+        request->quiet.cancel();
         if (request->call) {
             request->call->close();
             request->call.reset();
@@ -307,6 +349,7 @@
     request->may_have_run = true;
     metrics_.count_dispatch(request->work.urgency);
     request->call->send(request->method, request->target, std::move(headers), request->body);
+    watch_progress(request);
     auto head = co_await request->call->read_head();
     if (request->is_over()) {
         co_return attempt_end::stopped;
@@ -357,6 +400,13 @@
         }
         whole = part.whole;
         body += part.bytes;
+        if (request->bytes_out + body.size() > max_answer) {
+            if (request->begun) {
+                with.abort();
+                co_return attempt_end::stopped;
+            }
+            co_return attempt_end::failed;
+        }
         if (body.size() > max_held_answer || request->begun) {
             if (!request->begun) {
                 request->begun = true;
@@ -404,7 +454,8 @@
                 co_return attempt_end::stopped;
             }
         }
-        if (part.broken || (part.whole && splitter.unfinished() > 0)) {
+        const auto is_no_event = splitter.unfinished() > max_event;
+        if (part.broken || is_no_event || (part.whole && splitter.unfinished() > 0)) {
             co_return attempt_end::failed; // an event that was cut is dropped
         }
         if (part.whole) {
@@ -432,6 +483,9 @@
     }
     std::string bytes;
     for (const auto& event : events) {
+        if (event.has_data) {
+            request->progressed = now();
+        }
         const auto seen = event.id && request->last_event && *event.id <= *request->last_event;
         if (seen) {
             continue;
--- a/src/http/backend_call.cpp
+++ b/src/http/backend_call.cpp
@@ -66,7 +66,8 @@
 }
 
 backend_call::backend_call(asio::any_io_executor executor, const backend_call_options& options)
-    : options_(options), socket_(std::move(executor)) {}
+    : options_(options), socket_(std::move(executor)),
+      buffer_(options.max_header_bytes + options.read_bytes) {}
 
 asio::awaitable<bool> backend_call::connect(settings::endpoint at) {
     const auto self = shared_from_this();
@@ -114,22 +115,41 @@
                             [self = shared_from_this()](beast::error_code, std::size_t) {});
 }
 
+asio::awaitable<bool> backend_call::read_one_head() {
+    parser_ = std::make_unique<beast_http::response_parser<beast_http::buffer_body>>();
+    parser_->body_limit(boost::none);
+    parser_->header_limit(static_cast<std::uint32_t>(options_.max_header_bytes));
+    parser_->skip(head_request_);
+    if (buffer_.size() == 0) {
+        // The server may take its time before the first byte; the caller of this sets the bound.
+        const auto room = buffer_.prepare(options_.read_bytes);
+        const auto [error, size] = co_await socket_.async_read_some(room, detail::as_result);
+        if (error) {
+            co_return false;
+        }
+        buffer_.commit(size);
+    }
+    asio::steady_timer limit(socket_.get_executor(), options_.head_timeout);
+    limit.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+        if (const auto held = weak.lock(); held && !error) {
+            held->close();
+        }
+    });
+    const auto [error, size] =
+        co_await beast_http::async_read_header(socket_, buffer_, *parser_, detail::as_result);
+    co_return !error;
+}
+
 asio::awaitable<std::optional<answer_head>> backend_call::read_head() {
     const auto self = shared_from_this();
-    while (true) {
-        parser_ = std::make_unique<beast_http::response_parser<beast_http::buffer_body>>();
-        parser_->body_limit(boost::none);
-        parser_->header_limit(static_cast<std::uint32_t>(options_.max_header_bytes));
-        parser_->skip(head_request_);
-        const auto [error, size] =
-            co_await beast_http::async_read_header(socket_, buffer_, *parser_, detail::as_result);
-        if (error) {
+    constexpr unsigned first_final = 200;
+    bool is_final = false;
+    for (int interim = 0; !is_final; ++interim) {
+        const bool read = co_await read_one_head();
+        if (!read || interim > options_.max_interim_responses) {
             co_return std::nullopt;
         }
-        constexpr unsigned first_final = 200;
-        if (parser_->get().result_int() >= first_final) {
-            break;
-        }
+        is_final = parser_->get().result_int() >= first_final;
     }
     answer_head head;
     head.status = parser_->get().result_int();
--- a/src/http/engine_client.cpp
+++ b/src/http/engine_client.cpp
@@ -28,6 +28,10 @@
 /// Bytes read from a stream at once.
 constexpr std::size_t read_bytes = 8 * 1024;
 
+/// Bytes that are kept unread, beside a read: what is no body, such as a chunk's extension, has no
+/// other bound.
+constexpr std::size_t max_unread_bytes = 64 * 1024;
+
 /// Longest explanation of a rejection that is passed on.
 constexpr std::size_t max_rejection_bytes = 64 * 1024;
 
@@ -152,6 +156,7 @@
                 beast_http::response_parser<beast_http::buffer_body>& parser) {
         detail::event_splitter events;
         std::array<char, read_bytes> bytes{};
+        auto progressed = std::chrono::steady_clock::now();
         while (!parser.is_done()) {
             parser.get().body().data = bytes.data();
             parser.get().body().size = bytes.size();
@@ -162,7 +167,12 @@
                 co_return stream_end::broken;
             }
             events.append({bytes.data(), bytes.size() - parser.get().body().size});
+            if (events.unfinished() > options.max_event_bytes ||
+                std::chrono::steady_clock::now() - progressed > options.stall_timeout) {
+                co_return stream_end::broken;
+            }
             while (auto data = events.next()) {
+                progressed = std::chrono::steady_clock::now();
                 auto event = detail::parse_engine_event(*data);
                 if (!event) {
                     co_return stream_end::broken;
@@ -178,7 +188,7 @@
 
     /// Reads the response to a dispatch or a resumption.
     asio::awaitable<stream_end> read_response(beast::tcp_stream& stream, bool resuming) {
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(max_unread_bytes + read_bytes);
         beast_http::response_parser<beast_http::buffer_body> parser;
         parser.body_limit(boost::none);
         stream.expires_after(options.silence_timeout);
@@ -312,7 +322,7 @@
 
 asio::awaitable<void> run_service(const engine_client_options& options, const leg_request& request,
                                   const leg_hooks& hooks, beast::tcp_stream& stream) {
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(max_unread_bytes + read_bytes);
     beast_http::response_parser<beast_http::string_body> parser;
     parser.body_limit(options.max_body_bytes);
     stream.expires_after(options.service_timeout);
@@ -412,7 +422,7 @@
     if (write_error) {
         co_return std::string{};
     }
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(max_unread_bytes + read_bytes);
     beast_http::response_parser<beast_http::string_body> parser;
     parser.body_limit(options.max_body_bytes);
     const auto [error, size] = co_await beast_http::async_read(stream, buffer, parser, as_result);
--- a/src/http/event_splitter.cpp
+++ b/src/http/event_splitter.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 /// End of the first event: behind an empty line, however lines are ended.
-std::size_t find_event_end(std::string_view text) {
-    std::size_t line = 0;
+/// @param line  where a line of the event begins; moved to its last line if the event has no end
+std::size_t find_event_end(std::string_view text, std::size_t& line) {
     while (line < text.size()) {
         const auto end = text.find('\n', line);
         if (end == std::string_view::npos) {
@@ -48,6 +48,22 @@
     return id;
 }
 
+bool has_data_field(std::string_view event) {
+    constexpr std::string_view field = "data:";
+    std::size_t line = 0;
+    while (line < event.size()) {
+        if (event.substr(line).starts_with(field)) {
+            return true;
+        }
+        const auto end = event.find('\n', line);
+        if (end == std::string_view::npos) {
+            break;
+        }
+        line = end + 1;
+    }
+    return false;
+}
+
 } // namespace
 
 std::vector<stream_event> event_splitter::take(std::string_view bytes) {
@@ -55,13 +71,15 @@
     std::vector<stream_event> events;
     std::string_view rest = kept_;
     while (true) {
-        const auto end = find_event_end(rest);
+        const auto end = find_event_end(rest, line_);
         if (end == std::string_view::npos) {
             break;
         }
         const auto event = rest.substr(0, end);
-        events.push_back({.bytes = std::string(event), .id = find_id(event)});
+        events.push_back(
+            {.bytes = std::string(event), .id = find_id(event), .has_data = has_data_field(event)});
         rest.remove_prefix(end);
+        line_ = 0;
     }
     kept_.erase(0, kept_.size() - rest.size());
     return events;
--- /dev/null
+++ b/tests/unit-backend_call.cpp
@@ -0,0 +1,181 @@
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "endless_server.hpp"
+#include "tarragonspar/http/backend_call.hpp"
+#include "tarragonspar/http/engine_client.hpp"
+
+// Servers may send bytes that are no answer without end; a call must end, and hold little of them.
+
+namespace {
+
+using namespace tarragonspar;
+using tarragonspar::testing::endless_server;
+namespace asio = boost::asio;
+
+/// What sockets and one read hold may be on the way when the call closes.
+constexpr std::size_t few_bytes = 64UL * 1024 * 1024;
+
+const std::string sound_head = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n";
+
+struct call_result {
+    bool head{false};
+    bool broken{false};
+    std::size_t body_bytes{0};
+};
+
+/// Reads an answer until its end or until `body_limit` bytes of body have come.
+asio::awaitable<void> read_answer(std::uint16_t port, std::size_t body_limit, call_result& out) {
+    const auto executor = co_await asio::this_coro::executor;
+    const auto call = std::make_shared<http::backend_call>(executor);
+    const settings::endpoint at{.address = "127.0.0.1", .port = port};
+    const bool connected = co_await call->connect(at);
+    EXPECT_TRUE(connected);
+    call->send("GET", "/", {}, {});
+    const auto head = co_await call->read_head();
+    out.head = head.has_value();
+    bool more = out.head;
+    while (more) {
+        const auto part = co_await call->read_body();
+        out.body_bytes += part.bytes.size();
+        out.broken = part.broken;
+        more = !part.broken && !part.whole && out.body_bytes < body_limit;
+    }
+    call->close();
+}
+
+call_result play(const endless_server& server, std::size_t body_limit = 1024) {
+    asio::io_context context;
+    call_result out;
+    asio::co_spawn(context, read_answer(server.port(), body_limit, out), asio::detached);
+    context.run();
+    return out;
+}
+
+/// The head or what is read behind it never ends; the call fails and closes.
+void expect_end(const std::string& first, const std::string& again) {
+    endless_server server(first, again);
+    const auto result = play(server);
+    EXPECT_TRUE(!result.head || result.broken) << first.substr(0, 60);
+    EXPECT_LT(server.written(), few_bytes);
+}
+
+} // namespace
+
+TEST(BackendCall, AnEndlessHeadEnds) {
+    expect_end(sound_head, "X-Filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n");
+}
+
+TEST(BackendCall, AnEndlessHeaderLineEnds) {
+    expect_end(sound_head + "X-Filler: ", std::string(4096, 'a'));
+}
+
+TEST(BackendCall, AnEndlessStatusLineEnds) {
+    expect_end("HTTP/1.1 200 ", std::string(4096, 'a'));
+}
+
+TEST(BackendCall, EndlessInterimResponsesEnd) {
+    expect_end("", "HTTP/1.1 100 Continue\r\n\r\n");
+    expect_end("", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n");
+}
+
+TEST(BackendCall, AnEndlessChunkExtensionEnds) {
+    expect_end(sound_head + "Transfer-Encoding: chunked\r\n\r\n5;x=", std::string(4096, 'a'));
+}
+
+TEST(BackendCall, AnEndlessChunkSizeEnds) {
+    expect_end(sound_head + "Transfer-Encoding: chunked\r\n\r\n", std::string(4096, '0'));
+}
+
+TEST(BackendCall, EndlessTrailersEnd) {
+    expect_end(sound_head + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+               "X-Filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n");
+}
+
+TEST(BackendCall, BytesThatAreNoProtocolEnd) {
+    expect_end("", std::string(4096, '\0'));
+    expect_end("", "not an answer at all\r\n");
+}
+
+// The body itself is the caller's to bound, which reads it part by part.
+TEST(BackendCall, ABodyWithoutLengthComesInPartsOfBoundedSize) {
+    endless_server server(sound_head + "\r\n", std::string(4096, 'a'));
+    const auto result = play(server, 1024 * 1024);
+    EXPECT_TRUE(result.head);
+    EXPECT_GE(result.body_bytes, 1024U * 1024);
+    EXPECT_LT(server.written(), few_bytes);
+}
+
+// A head that comes a byte now and then is no progress either.
+TEST(BackendCall, AHeadThatTricklesEnds) {
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    std::atomic<bool> closed{false};
+    std::thread server([&] {
+        boost::system::error_code error;
+        asio::ip::tcp::socket socket(context);
+        acceptor.accept(socket, error);
+        asio::write(socket, asio::buffer(sound_head), error);
+        while (!error) {
+            asio::write(socket, asio::buffer("X", 1), error);
+            std::this_thread::sleep_for(std::chrono::milliseconds{20});
+        }
+        closed = true;
+    });
+    asio::io_context own;
+    bool read = true;
+    asio::co_spawn(
+        own,
+        [&]() -> asio::awaitable<void> {
+            http::backend_call_options options;
+            options.head_timeout = std::chrono::milliseconds{200};
+            const auto call = std::make_shared<http::backend_call>(own.get_executor(), options);
+            const settings::endpoint at{.address = "127.0.0.1",
+                                        .port = acceptor.local_endpoint().port()};
+            const bool connected = co_await call->connect(at);
+            EXPECT_TRUE(connected);
+            call->send("GET", "/", {}, {});
+            const auto head = co_await call->read_head();
+            read = head.has_value();
+            call->close();
+        },
+        asio::detached);
+    own.run();
+    server.join();
+    EXPECT_FALSE(read);
+    EXPECT_TRUE(closed);
+}
+
+// The project's own dialect of engines: the same bytes behind a sound head.
+TEST(EngineClient, EndlessBytesThatAreNoEventEnd) {
+    for (const std::string first :
+         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=",
+          "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: "}) {
+        endless_server server(first, std::string(4096, 'a'));
+        asio::io_context context;
+        std::string body;
+        http::engine_client_options options;
+        options.max_resumptions = 0;
+        std::optional<http::leg_end> end;
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                http::leg_request request;
+                request.address = "127.0.0.1:" + std::to_string(server.port());
+                request.call.method = "POST";
+                request.call.target = "/";
+                http::leg_hooks hooks;
+                hooks.acquire_right = []() -> asio::awaitable<bool> { co_return true; };
+                hooks.deliver = [](dispatch::answer_event) -> asio::awaitable<bool> {
+                    co_return true;
+                };
+                end = co_await http::run_leg(options, std::move(request), std::move(hooks));
+            },
+            asio::detached);
+        context.run();
+        EXPECT_EQ(end, http::leg_end::finished);
+        EXPECT_LT(server.written(), few_bytes) << first;
+    }
+}
--- a/tests/unit-decoders.cpp
+++ b/tests/unit-decoders.cpp
@@ -115,8 +115,8 @@
             static_cast<void>(gateway::servers_in(*read));
         }
     });
-    play(gateway::pack(dispatch::verdict{dispatch::grant{
-             .server = {1}, .server_name = "a", .address = "10.0.0.1:1"}}),
+    play(gateway::pack(dispatch::verdict{
+             dispatch::grant{.server = {1}, .server_name = "a", .address = "10.0.0.1:1"}}),
          4, [](const std::string& bytes) { static_cast<void>(gateway::unpack_verdict(bytes)); });
     play(gateway::pack(dispatch::grant_news{.id = make_work().id}), 5,
          [&](const std::string& bytes) {
@@ -165,10 +165,10 @@
 // A settings file is read again on each SIGHUP, whatever was written into it.
 TEST(Decoders, SettingsThatWereSpoiled) {
     const std::string text = "instance:\n  address: \"10.1.0.14\"\n  failure_domain: \"z\"\n"
-                                 "role: entry\nhttp:\n  listen: \"10.1.0.14:8221\"\n  threads: 1\n"
-                                 "wire:\n  listen: \"10.1.0.14:7600\"\ndeployment:\n"
-                                 "  readiness: \"10.1.0.14:8224\"\n"
-                                 "  founders: [\"10.1.0.16:8229\"]\n  grace_s: 8\n";
+                             "role: entry\nhttp:\n  listen: \"10.1.0.14:8221\"\n  threads: 1\n"
+                             "wire:\n  listen: \"10.1.0.14:7600\"\ndeployment:\n"
+                             "  readiness: \"10.1.0.14:8224\"\n"
+                             "  founders: [\"10.1.0.16:8229\"]\n  grace_s: 8\n";
     play(text, 10, [](const std::string& bytes) {
         static_cast<void>(settings::read_instance_settings(bytes));
     });
--- a/tests/unit-deployment.cpp
+++ b/tests/unit-deployment.cpp
@@ -23,7 +23,7 @@
 class teller : public wire::handler {
 public:
     explicit teller(const scripted_server& server) {
-        config::server one{.id = {hash_name(server.name()) & 0xffffffffU},
+        config::server one{.id = grant_of(server).server,
                            .name = server.name(),
                            .address = server.address(),
                            .offers = {"s"},
@@ -48,6 +48,14 @@
         const std::lock_guard lock(mutex_);
         return times_told_;
     }
+    /// Leads: grants the first server, and the second one to those who return a grant unused.
+    void grant_first(const scripted_server& first, const scripted_server& second) {
+        granted_ = {grant_of(first), grant_of(second)};
+    }
+    int times_returned() {
+        const std::lock_guard lock(mutex_);
+        return times_returned_;
+    }
 
     void on_enqueue(instance_id, work_item, dispatch::call_body,
                     std::shared_ptr<wire::remote_request>) override {}
@@ -56,8 +64,20 @@
                    std::function<void(wire::gossip_message)>) override {}
     void on_probe(instance_id, std::function<void(bool)>) override {}
     void on_consensus(instance_id, std::string) override {}
-    void on_question(instance_id, wire::topic, std::string payload,
+    void on_question(instance_id, wire::topic about, std::string payload,
                      std::function<void(wire::answer)> reply) override {
+        if (about == wire::topic::grant) {
+            const auto question = gateway::unpack_question(payload, runtime::now());
+            const std::lock_guard lock(mutex_);
+            const auto unused = question->earlier == dispatch::earlier_grant::unused;
+            times_returned_ += unused && question->notice ? 1 : 0;
+            reply({.known = true,
+                   .payload = gateway::pack(dispatch::verdict{granted_[unused ? 1 : 0]})});
+            return;
+        }
+        if (about != wire::topic::entry_report) {
+            return;
+        }
         const auto report = gateway::unpack_report(payload, runtime::now());
         const std::lock_guard lock(mutex_);
         if (!report || document_.number.value == 0) {
@@ -66,6 +86,7 @@
         }
         gateway::control_news news;
         news.entry_instances = 1;
+        news.schedules = !granted_.empty();
         news.document = document_;
         gateway::tell_servers(list_, *report, runtime::now(), news);
         ++times_told_;
@@ -73,6 +94,14 @@
     }
 
 private:
+    static dispatch::grant grant_of(const scripted_server& server) {
+        return {.server = {static_cast<std::uint32_t>(hash_name(server.name()) & 0xffffffffU)},
+                .server_name = server.name(),
+                .address = server.address()};
+    }
+
+    std::vector<dispatch::grant> granted_;
+    int times_returned_{0};
     gateway::server_list list_;
     std::unique_ptr<wire::node> node_;
     std::mutex mutex_;
@@ -420,3 +449,290 @@
     d.serve(make_manifest(1));
     EXPECT_EQ(d.call("POST", "/unsafe/x", "b", {}).status, 502U);
 }
+
+// --- what servers say about themselves ---
+
+namespace {
+
+std::string answer_with(const seen_request& to, const std::string& status,
+                        const std::string& headers, const std::string& body) {
+    return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + to.headers.at("Attempt-Id") + "\r\n" +
+           headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+// The platform's list still says ready; the server's own word counts from its first answer on.
+TEST(Deployment, AServerThatSaysItLeavesGetsNoFurtherRequest) {
+    const scripted_server leaving(
+        "i-1", [](const seen_request& request, asio::ip::tcp::socket& socket) {
+            write_raw(socket, answer_with(request, "200 OK",
+                                          "Response-Signature: sig\r\nServer-Leaving: 1\r\n", "l"));
+        });
+    const auto staying = make_sound("i-2");
+    platform_deployment d;
+    d.add_server(leaving, "s");
+    d.serve(make_manifest(1));
+    EXPECT_EQ(d.call("GET", "/safe/x", "", {}).body, "l");
+    d.add_server(staying, "s");
+    ASSERT_TRUE(wait_until([&] { return d.call("GET", "/safe/x", "", {}).status == 200; }));
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(d.call("POST", "/unsafe/x", "b", {}).status, 200U);
+    }
+    EXPECT_EQ(leaving.seen().size(), 1U);
+}
+
+// In place of a leader that does not know yet: its grants come back unused, and are asked for
+// again.
+TEST(Deployment, AGrantForAServerThatLeavesIsNotUsed) {
+    const scripted_server leaving(
+        "i-1", [](const seen_request& request, asio::ip::tcp::socket& socket) {
+            write_raw(socket, answer_with(request, "200 OK",
+                                          "Response-Signature: sig\r\nServer-Leaving: 1\r\n", "l"));
+        });
+    const auto staying = make_sound("i-2");
+    platform_deployment d;
+    teller control(leaving);
+    control.grant_first(leaving, staying);
+    control.start(d.control_wire());
+    control.tell(1, make_manifest(1));
+    d.start_entry(0);
+    ASSERT_TRUE(wait_until([&] { return d.ready().status == 200; }));
+    EXPECT_EQ(d.call("GET", "/safe/x", "", {}).body, "l");
+    EXPECT_EQ(d.call("POST", "/unsafe/x", "b", {}).status, 200U);
+    EXPECT_EQ(leaving.seen().size(), 1U);
+    EXPECT_EQ(staying.seen().size(), 1U);
+    EXPECT_GE(control.times_returned(), 1) << "with the reason";
+}
+
+TEST(Deployment, AServerThatAsksForAPauseIsLeftInPeace) {
+    std::atomic<int> arrivals{0};
+    const scripted_server busy(
+        "i-1", [&](const seen_request& request, asio::ip::tcp::socket& socket) {
+            ++arrivals;
+            write_raw(socket, answer_with(request, "503 Service Unavailable",
+                                          "Not-Executed: 1\r\nRetry-After: 30.5\r\n", ""));
+        });
+    platform_deployment d;
+    d.add_server(busy, "s");
+    d.serve(make_manifest(1));
+    for (int i = 0; i < 8; ++i) {
+        const auto answer = d.call_fully("POST", "/unsafe/x", "b");
+        EXPECT_EQ(answer.status, 503U);
+        ASSERT_TRUE(answer.headers.contains("Retry-After"));
+        EXPECT_GT(std::stod(answer.headers.at("Retry-After")), 25.0) << "the pause, told on";
+    }
+    EXPECT_EQ(arrivals, 1);
+    const auto sound = make_sound("i-2");
+    d.add_server(sound, "s");
+    EXPECT_TRUE(wait_until([&] { return d.call("POST", "/unsafe/x", "b", {}).status == 200; }));
+    EXPECT_EQ(arrivals, 1);
+}
+
+// --- what went wrong at other operators ---
+
+TEST(Deployment, ASecondCopyOfAnAnswerReachesNobody) {
+    const scripted_server twice("i-1", [](const seen_request& request,
+                                          asio::ip::tcp::socket& socket) {
+        const auto copy = whole_answer(request, "answer to " + request.headers.at("Attempt-Id"));
+        write_raw(socket, copy);
+        write_raw(socket, copy);
+        std::this_thread::sleep_for(std::chrono::milliseconds{20});
+        write_raw(socket, copy);
+    });
+    platform_deployment d;
+    d.add_server(twice, "s");
+    d.serve(make_manifest(1));
+    asio::io_context context;
+    asio::ip::tcp::socket caller(context); // one connection for all, as callers keep them
+    caller.connect(d.front());
+    boost::beast::flat_buffer buffer;
+    for (int i = 0; i < 10; ++i) {
+        const auto id = "call-" + std::to_string(i);
+        write_raw(caller, "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nKey: k\r\nAttempt-Id: " + id +
+                              "\r\nDeadline-Ms: 4000\r\n\r\n");
+        beast_http::response<beast_http::string_body> answer;
+        beast_http::read(caller, buffer, answer);
+        EXPECT_EQ(answer.body(), "answer to " + id);
+        EXPECT_EQ(buffer.size(), 0U);
+    }
+}
+
+// A refusal that answers another request says nothing about whether this one has run.
+TEST(Deployment, ARefusalOfAnotherRequestIsNoPromise) {
+    const scripted_server crossed("i-1", [](const seen_request&, asio::ip::tcp::socket& socket) {
+        write_raw(socket, "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: another\r\n"
+                          "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    });
+    platform_deployment d;
+    d.add_server(crossed, "s");
+    d.serve(make_manifest(1));
+    EXPECT_EQ(d.call("POST", "/unsafe/x", "b", {}).status, 502U);
+    EXPECT_EQ(crossed.seen().size(), 1U);
+}
+
+// Connections that were just opened carry requests that nobody has read yet.
+TEST(Deployment, APlannedStopUnderLoadCutsNoRequestThatWasAccepted) {
+    const auto server = make_sound("i-1");
+    platform_deployment d;
+    d.add_server(server, "s");
+    d.serve(make_manifest(1));
+    std::atomic<bool> stopped{false};
+    std::atomic<int> cut{0};
+    std::atomic<int> answered{0};
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 6; ++i) {
+        callers.emplace_back([&, i] {
+            asio::io_context context;
+            for (int n = 0; !stopped; ++n) {
+                asio::ip::tcp::socket caller(context);
+                boost::system::error_code error;
+                caller.connect(d.front(), error);
+                if (error) {
+                    continue; // refused before it was accepted
+                }
+                // Some send at once, some a moment after connecting.
+                std::this_thread::sleep_for(std::chrono::milliseconds{(i + n) % 3 * 4});
+                write_raw(caller, "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nKey: k\r\n"
+                                  "Attempt-Id: c" +
+                                      std::to_string(i) + "-" + std::to_string(n) +
+                                      "\r\nDeadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n");
+                boost::beast::flat_buffer buffer;
+                beast_http::response<beast_http::string_body> answer;
+                beast_http::read(caller, buffer, answer, error);
+                ++(error ? cut : answered);
+            }
+        });
+    }
+    ASSERT_TRUE(wait_until([&] { return answered > 50; }));
+    std::thread stopping([&] { d.entry(0).shut_down(); });
+    // The callers go on until the instance takes no connection any more.
+    ASSERT_TRUE(wait_until([&] {
+        asio::io_context context;
+        asio::ip::tcp::socket probe(context);
+        boost::system::error_code error;
+        probe.connect(d.front(), error);
+        return static_cast<bool>(error);
+    }));
+    stopped = true;
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    stopping.join();
+    EXPECT_EQ(cut, 0) << answered << " answered";
+}
+
+TEST(Deployment, ASlowButSoundStreamIsNotCut) {
+    const scripted_server slow(
+        "i-1", [](const seen_request& request, asio::ip::tcp::socket& socket) {
+            write_raw(socket, stream_head(request, "sig"));
+            for (int id = 1; id <= 3; ++id) {
+                // Less than the two seconds after which callers leave, more than the objective.
+                std::this_thread::sleep_for(std::chrono::milliseconds{1'200});
+                write_raw(socket, chunk(event_text(id)));
+            }
+            write_raw(socket, "0\r\n\r\n");
+        });
+    platform_deployment d;
+    d.add_server(slow, "s");
+    d.serve(make_manifest(1));
+    const auto answer = d.call_fully("POST", "/once/x", "b");
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer.body, event_text(1) + event_text(2) + event_text(3));
+}
+
+// Bytes that are no event are no progress.
+TEST(Deployment, AStalledStreamThatGoesOnSendingBytesIsContinuedElsewhere) {
+    std::atomic<int> arrivals{0};
+    std::atomic<int> ended{0};
+    const auto script = [&](const seen_request& request, asio::ip::tcp::socket& socket) {
+        write_raw(socket, stream_head(request, "sig"));
+        if (++arrivals > 1) {
+            write_raw(socket, chunk(event_text(2)) + "0\r\n\r\n");
+            return;
+        }
+        write_raw(socket, chunk(event_text(1)));
+        boost::system::error_code error;
+        while (!error) {
+            asio::write(socket, asio::buffer(chunk(": still here\n\n") + chunk("id")), error);
+            std::this_thread::sleep_for(std::chrono::milliseconds{50});
+        }
+        ++ended;
+    };
+    const scripted_server first("i-1", script);
+    const scripted_server second("i-2", script);
+    platform_deployment d;
+    d.add_server(first, "s");
+    d.add_server(second, "s");
+    d.serve(make_manifest(1));
+    const auto answer = d.call_fully("POST", "/resumable/x", "b");
+    EXPECT_TRUE(answer.whole);
+    EXPECT_NE(answer.body.find("piece 1"), std::string::npos);
+    EXPECT_NE(answer.body.find("piece 2"), std::string::npos);
+    EXPECT_TRUE(wait_until([&] { return ended == 1; })) << "the first server is left";
+}
+
+TEST(Deployment, AStalledStreamThatMayRunOnceEnds) {
+    std::atomic<bool> ended{false};
+    const scripted_server stalled(
+        "i-1", [&](const seen_request& request, asio::ip::tcp::socket& socket) {
+            write_raw(socket, stream_head(request, "sig") + chunk(event_text(1)));
+            boost::system::error_code error;
+            while (!error) {
+                asio::write(socket, asio::buffer(chunk(": still here\n\n")), error);
+                std::this_thread::sleep_for(std::chrono::milliseconds{50});
+            }
+            ended = true;
+        });
+    platform_deployment d;
+    d.add_server(stalled, "s");
+    // A long deadline, so that only the missing progress can end the stream.
+    auto manifest = nlohmann::json::parse(make_manifest(1));
+    for (auto& route : manifest["routes"]) {
+        route["timeout_ms"] = 60'000;
+    }
+    d.serve(manifest.dump());
+    const auto answer = d.call_fully("POST", "/once/x", "b", {{"Deadline-Ms", "60000"}});
+    EXPECT_FALSE(answer.whole);
+    EXPECT_TRUE(wait_until([&] { return ended.load(); }));
+}
+
+TEST(Deployment, AnEndlessEventEndsAsMayHaveRun) {
+    const scripted_server endless(
+        "i-1", [](const seen_request& request, asio::ip::tcp::socket& socket) {
+            write_raw(socket, stream_head(request, "sig"));
+            boost::system::error_code error;
+            while (!error) {
+                asio::write(socket, asio::buffer(chunk("data: " + std::string(16'000, 'a') + "\n")),
+                            error);
+            }
+        });
+    platform_deployment d;
+    d.add_server(endless, "s");
+    d.serve(make_manifest(1));
+    EXPECT_EQ(d.call("POST", "/once/x", "b", {}).status, 502U);
+}
+
+// An instance that is only silent keeps what it runs: nothing is started again elsewhere.
+TEST(Deployment, ASilentControlGroupLeavesRunningWorkAlone) {
+    std::atomic<bool> go_on{false};
+    const scripted_server slow("i-1",
+                               [&](const seen_request& request, asio::ip::tcp::socket& socket) {
+                                   while (!go_on) {
+                                       std::this_thread::sleep_for(std::chrono::milliseconds{10});
+                                   }
+                                   write_raw(socket, whole_answer(request, "done"));
+                               });
+    platform_deployment d;
+    d.add_server(slow, "s");
+    d.serve(make_manifest(1));
+    platform_deployment::answer answer;
+    std::thread caller([&] { answer = d.call_fully("POST", "/unsafe/x", "b"); });
+    ASSERT_TRUE(wait_until([&] { return slow.seen().size() == 1; }));
+    d.stop_control(0);
+    std::this_thread::sleep_for(std::chrono::milliseconds{1'000});
+    go_on = true;
+    caller.join();
+    EXPECT_EQ(answer.body, "done");
+    EXPECT_EQ(slow.seen().size(), 1U);
+}
--- a/tests/unit-event_splitter.cpp
+++ b/tests/unit-event_splitter.cpp
@@ -34,3 +34,29 @@
         EXPECT_EQ(splitter.unfinished(), 0U);
     }
 }
+
+// An event of a megabyte that comes in small parts must not be searched from its beginning each
+// time.
+TEST(EventSplitter, ALongEventInSmallPartsIsCutOnce) {
+    event_splitter splitter;
+    std::size_t whole = 0;
+    for (int i = 0; i < 200'000; ++i) {
+        whole += splitter.take("data\n").size();
+    }
+    EXPECT_EQ(whole, 0U);
+    EXPECT_EQ(splitter.unfinished(), 1'000'000U);
+    const auto events = splitter.take("\n");
+    ASSERT_EQ(events.size(), 1U);
+    EXPECT_EQ(events.front().bytes.size(), 1'000'001U);
+    EXPECT_EQ(splitter.unfinished(), 0U);
+}
+
+TEST(EventSplitter, TellsWhatHasNoData) {
+    event_splitter splitter;
+    const auto events = splitter.take(": alive\n\nid: 4\ndata: x\n\n: a\nid: 3\n\n\n");
+    ASSERT_EQ(events.size(), 4U);
+    EXPECT_FALSE(events[0].has_data);
+    EXPECT_TRUE(events[1].has_data);
+    EXPECT_FALSE(events[2].has_data);
+    EXPECT_FALSE(events[3].has_data);
+}
