Inside a workspace's quota more urgent kinds go first, whatever their size

Cause: units went to whoever came first. Ruled out: the size of the limit (it was used up all the time); the desk's order (what is turned away never reaches it). Change: below half a bucket each rank may take what the limit leaves after what more urgent ranks ask for (averaged over a second), part of the bucket is held for large requests, and in the rank that gets only a part the draw decides, not the size. Retry-After is the time until the units, or the contested part of the bucket, are there.

--- a/include/tarragonspar/admission/quota.hpp
+++ b/include/tarragonspar/admission/quota.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <deque>
 #include <unordered_map>
 
@@ -24,6 +25,9 @@
         quota_limit limit;
         double units{};
         time_point updated{};
+        /// Units asked for lately by each rank of requests, granted or not, in units a second.
+        std::array<double, rank_count> asked{};
+        time_point asked_updated{};
     };
     std::unordered_map<workspace_id, bucket> buckets;
 };
@@ -45,10 +49,21 @@
 void set_limits(quota_table& target, const std::unordered_map<workspace_id, quota_limit>& limits,
                 time_point now);
 
+/// @brief A request that asks for units of its workspace's quota.
+struct quota_wish {
+    workspace_id workspace;
+    kind_rank rank;
+    std::uint32_t units{};
+    double draw{}; ///< from [0, 1), the same for each decision on one request
+};
+
 /// @brief Takes units for a request.
-/// @return 0 if they were there, else the time after which they will be
-[[nodiscard]] duration take(quota_table& target, workspace_id workspace, std::uint32_t units,
-                            time_point now);
+///
+/// While a workspace asks for more than its limit, more urgent ranks go first: the least urgent
+/// leave the units to them, and inside the rank that gets only part of what it asks for, the draw
+/// decides and not the size, since small requests would always find enough and large ones never.
+/// @return 0 if the units were taken, else the time after which they will be there
+[[nodiscard]] duration take(quota_table& target, const quota_wish& wish, time_point now);
 
 /// @brief Sets what is left in each bucket from what was used lately, wherever it was granted.
 ///
--- a/src/dispatch/grant_desk.cpp
+++ b/src/dispatch/grant_desk.cpp
@@ -84,6 +84,15 @@
 constexpr duration min_retry_after = std::chrono::milliseconds{250};
 constexpr duration max_retry_after = std::chrono::milliseconds{1'000};
 
+admission::quota_wish quota_wish_of(const work_item& work) {
+    constexpr double range = 18446744073709551616.0; // 2 to the 64th
+    const auto draw = hash_pair(work.id.issued_in.value, work.id.sequence);
+    return {.workspace = work.workspace,
+            .rank = work.rank,
+            .units = work.quota_units,
+            .draw = static_cast<double>(draw >> 1U) / (range / 2.0)};
+}
+
 } // namespace
 
 scheduler_options desk_options() {
@@ -153,8 +162,7 @@
         send(target, ended{.id = work.id, .whole = false, .server_fault = true}, now, out);
     } else if (earlier == earlier_grant::unused) {
         send(target, grant_refused{.id = work.id}, now, out);
-    } else if (const auto wait =
-                   admission::take(target.quotas, work.workspace, work.quota_units, now);
+    } else if (const auto wait = admission::take(target.quotas, quota_wish_of(work), now);
                wait > duration{}) {
         out.push_back(
             {.id = work.id, .what = refusal{.why = reason::workspace_limit, .retry_after = wait}});
--- a/tests/endless_server.hpp
+++ b/tests/endless_server.hpp
@@ -19,8 +19,8 @@
     /// @param again  written again and again
     endless_server(std::string first, std::string again)
         : acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}),
-          thread_([this, first = std::move(first), again = std::move(again)] { run(first, again); }) {
-    }
+          thread_(
+              [this, first = std::move(first), again = std::move(again)] { run(first, again); }) {}
     endless_server(const endless_server&) = delete;
     endless_server& operator=(const endless_server&) = delete;
     ~endless_server() {
--- a/tests/unit-quota.cpp
+++ b/tests/unit-quota.cpp
@@ -1,3 +1,6 @@
+#include <random>
+#include <vector>
+
 #include <gtest/gtest.h>
 
 #include "tarragonspar/admission/quota.hpp"
@@ -21,8 +24,82 @@
     return table;
 }
 
+duration take(quota_table& table, workspace_id workspace, std::uint32_t units, time_point now) {
+    return admission::take(table, {.workspace = workspace, .units = units}, now);
+}
+
+/// A kind of request of one workspace.
+struct kind_load {
+    kind_rank rank;
+    std::uint32_t units{};
+    double per_second{};
+    int asked{0};
+    int granted{0};
+    [[nodiscard]] double share() const {
+        return static_cast<double>(granted) / asked;
+    }
+};
+
+/// Ten seconds of a load; returns the units that were granted.
+double play(quota_table& table, std::vector<kind_load>& kinds, std::uint64_t seed = 1) {
+    std::mt19937_64 random(seed);
+    std::uniform_real_distribution<double> draw(0.0, 1.0);
+    double used = 0.0;
+    for (int ms = 0; ms < 10'000; ++ms) {
+        for (auto& kind : kinds) {
+            if (draw(random) >= kind.per_second / 1'000.0) {
+                continue;
+            }
+            ++kind.asked;
+            const auto wait = admission::take(
+                table,
+                {.workspace = w, .rank = kind.rank, .units = kind.units, .draw = draw(random)},
+                at(ms));
+            if (wait == duration{}) {
+                ++kind.granted;
+                used += kind.units;
+            }
+        }
+    }
+    return used;
+}
+
 } // namespace
 
+// A workspace that sends several times its limit, as on the users' scale days: given to whoever
+// came first, units went to small requests of the least urgent kind, and the most urgent found
+// none.
+TEST(Quota, BeyondTheLimitMoreUrgentKindsGoFirst) {
+    std::vector<kind_load> kinds{{.rank = {0}, .units = 1'500, .per_second = 5.0},
+                                 {.rank = {1}, .units = 500, .per_second = 20.0},
+                                 {.rank = {2}, .units = 200, .per_second = 200.0}};
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        auto table = make_table(10'000.0, 20'000.0);
+        const auto used = play(table, kinds, seed);
+        EXPECT_GE(used, 0.85 * 10'000.0 * 10.0) << "what more urgent kinds leave is used";
+        EXPECT_LE(used, 10'000.0 * 10.0 + 20'000.0);
+    }
+    EXPECT_GE(kinds[0].share(), 0.9);
+    EXPECT_LE(kinds[2].share(), 0.25);
+}
+
+TEST(Quota, BeyondTheLimitLargeRequestsOfAKindAreServedLikeSmallOnes) {
+    auto table = make_table(10'000.0, 20'000.0);
+    std::vector<kind_load> kinds{{.rank = {0}, .units = 200, .per_second = 100.0},
+                                 {.rank = {0}, .units = 4'000, .per_second = 3.0}};
+    play(table, kinds);
+    EXPECT_GE(kinds[1].share(), 0.5 * kinds[0].share());
+}
+
+TEST(Quota, WithinTheLimitNoKindIsTurnedAway) {
+    auto table = make_table(10'000.0, 20'000.0);
+    std::vector<kind_load> kinds{{.rank = {0}, .units = 1'000, .per_second = 3.0},
+                                 {.rank = {2}, .units = 200, .per_second = 20.0}};
+    play(table, kinds);
+    EXPECT_EQ(kinds[0].share(), 1.0);
+    EXPECT_EQ(kinds[1].share(), 1.0);
+}
+
 TEST(Quota, BurstThenRate) {
     auto table = make_table(100.0, 50.0);
     EXPECT_EQ(take(table, w, 50, at(0)), duration{});
