Waiting and giving up follow from each request's own objective and from what slots take

Cause: a queue of 1.2 s and a patience of 0.8 s past the objective were one fixed measure for objectives of 120 ms to 2 s; and the queue was counted in times of the fastest idle server, while slots are held several times longer. Change: the newest request of the least urgent tier is refused at once when the predicted wait exceeds 1.2 times its own objective, a late one when it is 0.75 of its objective late; the prediction is stretched by what slots were really held for.

--- a/include/tarragonspar/dispatch/scheduler.hpp
+++ b/include/tarragonspar/dispatch/scheduler.hpp
@@ -23,9 +23,13 @@
     /// Predicted time to serve all that waits for a model, above which the newest request of the
     /// least urgent tier is refused; 0: not bounded.
     double max_wait_seconds{0.0};
-    /// Time past its latency objective for which a request still waits; what can't be served then
-    /// is refused, to come back later. 0: it waits until its deadline.
-    duration late_patience{};
+    /// The same as a part of that request's own time from arrival to latency objective, where it
+    /// has one; 0: as above. What would wait longer is late, and is as late when it comes back.
+    double max_wait_share{0.0};
+    /// Part of a request's time from arrival to latency objective for which it still waits past the
+    /// objective; what can't be served then is refused, to come back later. 0: it waits until its
+    /// deadline.
+    double late_patience{0.0};
     /// Part of its remaining time after which a request refused for lack of room should come back;
     /// 0: as long as the queue takes to drain.
     double return_share{0.0};
@@ -47,6 +51,7 @@
     duration predicted_first_token{};
     token_count predicted_output;
     token_count computed;
+    double cost_seconds{};       ///< what the queue predicted for it; 0: it never waited here
     token_count observed_tokens; ///< tokens already used for the decode estimate
     time_point observed_at{};
     bool window_was_full{false};
@@ -67,6 +72,7 @@
     admission::tier_queue queue;
     peak_demand top_tier;
     double service_seconds{2.0}; ///< mean time that a request keeps a slot busy
+    double cost_seconds{2.0};    ///< mean of what the queue predicted for the same requests
 };
 
 /// @brief The servers that offer one model, by pointers into `scheduler::servers`; so it is moved
--- a/src/dispatch/grant_desk.cpp
+++ b/src/dispatch/grant_desk.cpp
@@ -76,8 +76,10 @@
 /// Wait that is still worth it: about the latency objectives of the first users. What would wait
 /// longer is late anyway, and is as late when it comes back. Measured between 0.8 and 2 s.
 constexpr double max_wait_seconds = 1.2;
-/// Time past the objective after which a request is given up: another queue's worth.
-constexpr duration late_patience = std::chrono::milliseconds{800};
+/// The same in parts of a request's own objective, where it has one.
+constexpr double max_wait_share = 1.2;
+/// Part of the objective past which a request is given up: most of another queue's worth.
+constexpr double late_patience = 0.75;
 /// Callers come back if told to within a third of their time; less, for the spread that is added.
 constexpr double return_share = 0.2;
 /// Callers come back only if that leaves them time, which a third of a short deadline does.
@@ -98,6 +100,7 @@
 scheduler_options desk_options() {
     scheduler_options options;
     options.max_wait_seconds = max_wait_seconds;
+    options.max_wait_share = max_wait_share;
     options.late_patience = late_patience;
     options.return_share = return_share;
     options.min_retry_after = min_retry_after;
--- a/src/dispatch/placing.cpp
+++ b/src/dispatch/placing.cpp
@@ -48,6 +48,7 @@
                          .predicted_first_token = predicted.first_token,
                          .predicted_output = predicted_output(target, work),
                          .computed = predicted.computed,
+                         .cost_seconds = item.cost_seconds,
                          .observed_tokens = {},
                          .failed_dispatches = item.failed_dispatches};
     ++server.in_flight;
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -309,6 +309,9 @@
         auto& pool = pool_of(target, item.work.model);
         pool.service_seconds +=
             service_gain * (to_seconds(now - item.started) - pool.service_seconds);
+        if (item.cost_seconds > 0.0) {
+            pool.cost_seconds += service_gain * (item.cost_seconds - pool.cost_seconds);
+        }
     }
     if (what.whole && at != target.servers.end() &&
         at->second.kind == config::server_kind::engine) {
--- a/src/dispatch/shedding.cpp
+++ b/src/dispatch/shedding.cpp
@@ -221,8 +221,33 @@
     }
 }
 
+namespace {
+
+duration late_patience(const scheduler& source, const work_item& work) {
+    return from_seconds(to_seconds(work.objective - work.arrival) * source.options.late_patience);
+}
+
+/// Longest predicted wait with which a request is kept.
+double max_wait(const scheduler& source, const work_item& work) {
+    const auto& options = source.options;
+    if (options.max_wait_share <= 0.0 || work.objective == time_point{}) {
+        return options.max_wait_seconds;
+    }
+    return to_seconds(work.objective - work.arrival) * options.max_wait_share;
+}
+
+/// Time to serve all that waits for a model. Costs are those on the fastest idle server, so they
+/// are stretched by what slots really took.
+double predicted_wait(const scheduler& source, const model_pool& pool, model_id model) {
+    const auto slots = static_cast<double>(std::max(1U, total_slots(source, model)));
+    const auto stretch = std::max(1.0, pool.service_seconds / std::max(1e-3, pool.cost_seconds));
+    return pool.queue.work_ahead({tier_count - 1}) * stretch / slots;
+}
+
+} // namespace
+
 void give_up_late(scheduler& target, time_point now, std::vector<effect>& effects) {
-    if (target.options.late_patience == duration{}) {
+    if (target.options.late_patience <= 0.0) {
         return;
     }
     std::vector<request_id> late;
@@ -235,7 +260,7 @@
         pool.queue.for_each(*lowest, [&](const admission::queued_item& item) {
             const auto& work = item.work;
             if (work.objective != time_point{} &&
-                now > work.objective + target.options.late_patience) {
+                now > work.objective + late_patience(target, work)) {
                 late.push_back(work.id);
             }
         });
@@ -316,15 +341,16 @@
 }
 
 void bound_wait(scheduler& target, model_id model, time_point now, std::vector<effect>& effects) {
-    const auto limit = target.options.max_wait_seconds;
-    if (limit <= 0.0) {
+    if (target.options.max_wait_seconds <= 0.0) {
         return;
     }
-    const auto& queue = target.pools.at(model).queue;
-    const auto slots = static_cast<double>(std::max(1U, total_slots(target, model)));
-    while (queue.size() > 1 && queue.work_ahead({tier_count - 1}) / slots > limit) {
-        refuse_queued(target, queue.newest_of_lowest_tier()->work.id, reason::overloaded, now,
-                      effects);
+    const auto& pool = target.pools.at(model);
+    while (pool.queue.size() > 1) {
+        const auto& newest = pool.queue.newest_of_lowest_tier()->work;
+        if (predicted_wait(target, pool, model) <= max_wait(target, newest)) {
+            return;
+        }
+        refuse_queued(target, newest.id, reason::overloaded, now, effects);
     }
 }
 
--- a/tests/unit-grant_desk.cpp
+++ b/tests/unit-grant_desk.cpp
@@ -324,6 +324,49 @@
     EXPECT_EQ(f.refused.at(2).why, reason::overloaded);
 }
 
+// One fixed wait for all kept requests with objectives of some hundred milliseconds until they were
+// late, and then some: callers lost the time in which another chance would have helped them.
+TEST(GrantDesk, WaitingFollowsFromEachRequestsOwnObjective) {
+    fixture f({make_server(1)});
+    const auto ask_with = [&](std::uint64_t sequence, milliseconds objective) {
+        auto work = f.make(sequence, 1);
+        work.objective = f.now + objective;
+        f.ask(work);
+    };
+    f.ask(f.make(1, 1));
+    ask_with(2, milliseconds{300});
+    ask_with(3, milliseconds{2'000});
+    f.now += milliseconds{700};
+    std::vector<decision> made;
+    tick(f.desk, f.now, made);
+    f.take(made);
+    EXPECT_TRUE(f.refused.contains(2));
+    EXPECT_FALSE(f.refused.contains(3));
+}
+
+// What a queue holds is predicted on an idle server; slots are held for several times that.
+TEST(GrantDesk, WhatSlotsReallyTakeBoundsTheQueue) {
+    const auto kept_with = [](milliseconds service) {
+        fixture f({make_server(1)});
+        std::uint64_t sequence = 0;
+        while (sequence < 100) {
+            f.ask(f.make(++sequence, 0));
+            f.now += service;
+            f.tell(sequence, grant_news::what::first_token);
+            f.tell(sequence, grant_news::what::done);
+        }
+        f.ask(f.make(++sequence, 0));
+        std::size_t kept = 0;
+        for (; f.refused.empty() && kept < 200; ++kept) {
+            auto work = f.make(++sequence, 1);
+            work.objective = f.now + milliseconds{1'000};
+            f.ask(work);
+        }
+        return kept;
+    };
+    EXPECT_GT(kept_with(milliseconds{200}), 2 * kept_with(milliseconds{2'000}));
+}
+
 TEST(GrantDesk, AMoreUrgentTierIsNotGivenUpWhileALessUrgentOneIsKept) {
     fixture f({make_server(1)});
     f.ask(f.make(1, 0));
