Without a leader instances fill little more than all slots; a new leader waits for most of them

The new leader granted when it had heard one instance, and told it that it was alone (entry_instances=1), so that it counted all quotas, repeats and slots as its own. Change: all instances together may fill 1.3 times all slots of a service and 2.0 times each server's while each grants for itself. Reports carry the number of instances last told; a new leader grants after 250 ms if it has heard four fifths of them, else after 600 ms, and tells that number for five seconds. The log line of a request has the longest pause between two events.

--- a/include/tarragonspar/admission/quota.hpp
+++ b/include/tarragonspar/admission/quota.hpp
@@ -54,7 +54,8 @@
     workspace_id workspace;
     kind_rank rank;
     std::uint32_t units{};
-    double draw{}; ///< from [0, 1), the same for each decision on one request
+    double draw{};       ///< from [0, 1), the same for each decision on one request
+    bool competes{true}; ///< gives way to more urgent ranks; else it takes what is there
 };
 
 /// @brief Takes units for a request.
--- a/include/tarragonspar/dispatch/scheduler.hpp
+++ b/include/tarragonspar/dispatch/scheduler.hpp
@@ -38,6 +38,11 @@
     /// Part by which a predicted time may be raised at random in the choice of a server; for desks
     /// beside others, which would all choose the one that is fastest for all.
     double choice_noise{0.0};
+    /// Part of all slots of a model that may be filled from here, at least one; for desks that
+    /// share the servers with others without a word. 0: all.
+    double slots_share{0.0};
+    /// The same for the slots of each server.
+    double server_share{0.0};
     bool transfer_to_peers{true};
     duration transfer_wait{std::chrono::milliseconds{150}}; ///< expected wait worth a transfer
 };
--- a/include/tarragonspar/gateway/control_instance.hpp
+++ b/include/tarragonspar/gateway/control_instance.hpp
@@ -74,7 +74,8 @@
     // Below: used on the context's thread only.
     runtime::control_service::group_view group_;
     time_point leads_since_{};
-    bool schedules_{false}; ///< leads, knows the servers, and has heard what runs
+    bool schedules_{false};             ///< leads, knows the servers, and has heard what runs
+    std::uint32_t expected_holders_{0}; ///< entry instances by what they report since it leads
     config::document newest_;
     config::catalogue catalogue_; ///< what `newest_` says
     double quota_share_{1.0};
--- a/include/tarragonspar/gateway/desk_service.hpp
+++ b/include/tarragonspar/gateway/desk_service.hpp
@@ -23,6 +23,9 @@
     explicit desk_service(boost::asio::io_context& context, double choice_noise = 0.0);
 
     void set_servers(const std::vector<config::server>& servers);
+    /// @brief Parts of all slots, and of each server's, that this desk may fill beside others;
+    /// counts from the next list of servers on.
+    void set_shares(double slots, double server_slots);
     /// @param share  part of each quota that this desk may hand out
     void set_quotas(const config::catalogue& from, const admission::quota_tolerance& tolerance,
                     double share);
--- a/include/tarragonspar/gateway/relayed_request.hpp
+++ b/include/tarragonspar/gateway/relayed_request.hpp
@@ -44,6 +44,7 @@
     boost::asio::steady_timer quiet; ///< ends an attempt that makes no progress
     time_point progressed{};         ///< start of the attempt, or its last event
     duration max_quiet{};            ///< time without progress that ends the attempt
+    duration longest_pause{};        ///< between two events of the answer
     std::optional<dispatch::verdict> verdict;
     bool gone{false};      ///< the caller closed its connection
     bool timed_out{false}; ///< the deadline has passed
--- a/include/tarragonspar/gateway/reports.hpp
+++ b/include/tarragonspar/gateway/reports.hpp
@@ -16,6 +16,7 @@
     config::document_number document; ///< in force at the entry instance
     std::uint64_t servers_mark{};     ///< of the list of servers that it knows
     duration servers_age{};           ///< since that list was read from the platform
+    std::uint32_t entry_instances{1}; ///< of the deployment, as the last leader told
 };
 
 /// @brief What it is told in return.
--- a/include/tarragonspar/routing/server_model.hpp
+++ b/include/tarragonspar/routing/server_model.hpp
@@ -28,7 +28,8 @@
     speed_estimate speed;
     prefix_index cache;
     window in_flight_window;
-    bool slots_are_exact{false}; ///< the window is what the server admits
+    bool slots_are_exact{false};  ///< the window is what the server admits
+    std::uint32_t listed_slots{}; ///< as described, whatever part of them may be used from here
     circuit_breaker breaker;
     bool keep_in_use{false}; ///< too many others are ejected for this one to be left out
     load_report report;
--- a/src/admission/quota.cpp
+++ b/src/admission/quota.cpp
@@ -93,10 +93,12 @@
     }
     auto& bucket = found->second;
     refill(bucket, now);
-    note_asked(bucket, wish, now);
+    if (wish.competes) {
+        note_asked(bucket, wish, now);
+    }
     // A request larger than the burst passes when the bucket is full, and leaves a debt.
     const auto needed = std::min<double>(wish.units, bucket.limit.burst);
-    const auto share = admitted_share(bucket, wish.rank);
+    const auto share = wish.competes ? admitted_share(bucket, wish.rank) : 1.0;
     if (bucket.units >= needed && wish.draw < share) {
         bucket.units -= wish.units;
         return {};
--- a/src/dispatch/grant_desk.cpp
+++ b/src/dispatch/grant_desk.cpp
@@ -92,7 +92,10 @@
     return {.workspace = work.workspace,
             .rank = work.rank,
             .units = work.quota_units,
-            .draw = static_cast<double>(draw >> 1U) / (range / 2.0)};
+            .draw = static_cast<double>(draw >> 1U) / (range / 2.0),
+            // Without a prompt it costs next to nothing beside prompts; turned away by its rank, it
+            // would make room for nobody.
+            .competes = work.prompt.value > 0};
 }
 
 } // namespace
--- a/src/dispatch/placing.cpp
+++ b/src/dispatch/placing.cpp
@@ -78,13 +78,22 @@
 }
 
 std::uint32_t free_slots(const scheduler& source, model_id model, time_point now) {
-    std::uint32_t count = 0;
+    std::uint32_t free = 0;
+    std::uint32_t taken = 0;
+    std::uint32_t all = 0;
     for (const auto* server : servers_for(source, model)) {
+        taken += server->in_flight;
+        all += server->listed_slots;
         if (routing::has_room(*server, now)) {
-            count += routing::usable_window(*server) - server->in_flight;
+            free += routing::usable_window(*server) - server->in_flight;
         }
     }
-    return count;
+    if (source.options.slots_share <= 0.0) {
+        return free;
+    }
+    const auto own =
+        std::max(1U, static_cast<std::uint32_t>(std::ceil(all * source.options.slots_share)));
+    return std::min(free, own - std::min(own, taken));
 }
 
 /// The least urgent tier that may be dispatched for a model now.
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -343,15 +343,22 @@
 void handle(scheduler& target, const ownership_changed& what, time_point now,
             std::vector<effect>& effects) {
     std::map<server_id, routing::server_model> next;
-    for (const auto& description : what.owned) {
+    for (auto description : what.owned) {
         const auto known = target.servers.find(description.id);
+        const auto listed_slots = std::max(1U, description.slots);
+        if (target.options.server_share > 0.0) {
+            const auto own = std::ceil(listed_slots * target.options.server_share);
+            description.slots = std::clamp(static_cast<std::uint32_t>(own), 1U, listed_slots);
+        }
         auto model = routing::make_server_model(description);
+        model.listed_slots = listed_slots;
         if (known != target.servers.end()) {
             auto kept = std::move(known->second);
             kept.state = model.state;
             kept.offers = std::move(model.offers);
             kept.hardware_class = std::move(model.hardware_class);
             kept.slots_are_exact = model.slots_are_exact;
+            kept.listed_slots = model.listed_slots;
             if (description.slots_are_exact) {
                 kept.in_flight_window = model.in_flight_window;
             }
--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -24,6 +24,14 @@
 constexpr auto read_limit = std::chrono::milliseconds{900};
 /// Time for which a new leader lets holders report what they run before it grants anything.
 constexpr duration takeover_pause = std::chrono::milliseconds{250};
+/// Time for which it waits for more of them: what unheard holders run would be granted a second
+/// time. Those cut off don't come, and what waits should not wait for them.
+constexpr duration takeover_patience = std::chrono::milliseconds{600};
+/// Part of the expected holders that is enough.
+constexpr double enough_holders = 0.8;
+/// Time for which the expected number counts as that of the deployment: holders that were frozen or
+/// cut off come back or are replaced.
+constexpr duration expectation_time = std::chrono::seconds{5};
 /// Entry instances named in each answer to another one: it knows a dozen after a second.
 constexpr std::size_t told_peers = 3;
 
@@ -146,6 +154,7 @@
     schedules_ = schedules_ && group_.leads;
     if (group_.leads && !led) {
         leads_since_ = now();
+        expected_holders_ = 0;
         list_ = {};
     }
     if (!group_.leads && led) {
@@ -179,8 +188,12 @@
 }
 
 void control_instance::begin_if_due() {
-    const auto due = group_.leads && list_.mark != 0 && now() - leads_since_ > takeover_pause;
-    if (schedules_ || !due) {
+    const auto led = now() - leads_since_;
+    if (schedules_ || !group_.leads || list_.mark == 0 || led <= takeover_pause) {
+        return;
+    }
+    const auto heard = static_cast<double>(desk_->holders().size());
+    if (heard < enough_holders * expected_holders_ && led <= takeover_patience) {
         return;
     }
     schedules_ = true;
@@ -205,6 +218,7 @@
     }
     if (group_.leads) {
         desk_->reconcile(report->open);
+        expected_holders_ = std::max(expected_holders_, report->entry_instances);
         begin_if_due();
         share_quotas();
         metrics_.set_queued(desk_->queued());
@@ -216,6 +230,9 @@
     news.members.push_back(settings_.id);
     const auto holders = desk_->holders();
     news.entry_instances = static_cast<std::uint32_t>(holders.size());
+    if (group_.leads && now() - leads_since_ < expectation_time) {
+        news.entry_instances = std::max(news.entry_instances, expected_holders_);
+    }
     std::sample(holders.begin(), holders.end(), std::back_inserter(news.peers), told_peers,
                 random_);
     if (newest_.number > report->document) {
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -31,9 +31,12 @@
 /// Other entry instances choose at the same time without a word; twice the predicted time spreads
 /// them over servers that differ by less than that.
 constexpr double own_choice_noise = 1.0;
-/// Entry instances that may each use all slots of a server while they grant for themselves: in a
-/// cut only some reach the same servers, and a lost leader is replaced within a second.
-constexpr std::uint32_t instances_at_full_slots = 6;
+/// What all entry instances together may fill while each grants for itself, in parts of all slots:
+/// a little more than all, since their shares are not equally used. Engines that are overfilled
+/// queue in order of arrival and stay late for seconds after a leader is found.
+constexpr double own_slots = 1.3;
+/// The same for each single server, since they choose without a word.
+constexpr double own_server_slots = 2.0;
 /// Age of the list of servers from which on it is read here.
 constexpr duration list_silence = std::chrono::milliseconds{1'500};
 /// Other entry instances that are remembered: enough that some of them are in reach after a cut or
@@ -108,7 +111,8 @@
     const entry_report what{.open = uses_.open_requests(),
                             .document = document_.number,
                             .servers_mark = list_.mark,
-                            .servers_age = now() - list_.read};
+                            .servers_age = now() - list_.read,
+                            .entry_instances = entry_instances_};
     node_.ask(*target_, wire::topic::entry_report, pack(what, now()),
               [self = shared_from_this(), from = *target_](std::optional<wire::answer> answer) {
                   asio::post(self->context_, [self, from, answer = std::move(answer)] {
@@ -138,7 +142,8 @@
     const entry_report what{.open = {.holder = self_},
                             .document = document_.number,
                             .servers_mark = list_.mark,
-                            .servers_age = now() - list_.read};
+                            .servers_age = now() - list_.read,
+                            .entry_instances = entry_instances_};
     node_.ask(peer, wire::topic::entry_report, pack(what, now()),
               [self = shared_from_this()](std::optional<wire::answer> answer) {
                   asio::post(self->context_, [self, answer = std::move(answer)] {
@@ -398,13 +403,10 @@
 }
 
 void control_link::share_servers() {
-    auto shared = list_.servers;
-    for (auto& server : shared) {
-        const auto sharing = std::max(1U, entry_instances_);
-        server.slots = std::clamp(server.slots * instances_at_full_slots / sharing, 1U,
-                                  std::max(1U, server.slots));
-    }
-    own_desk_->set_servers(shared);
+    const auto sharing = static_cast<double>(std::max(1U, entry_instances_));
+    own_desk_->set_shares(std::min(1.0, own_slots / sharing),
+                          std::min(1.0, own_server_slots / sharing));
+    own_desk_->set_servers(list_.servers);
 }
 
 } // namespace tarragonspar::gateway
--- a/src/gateway/desk_service.cpp
+++ b/src/gateway/desk_service.cpp
@@ -29,6 +29,11 @@
     carry_out(made);
 }
 
+void desk_service::set_shares(double slots, double server_slots) {
+    desk_.decisions.options.slots_share = slots;
+    desk_.decisions.options.server_share = server_slots;
+}
+
 void desk_service::set_quotas(const config::catalogue& from,
                               const admission::quota_tolerance& tolerance, double share) {
     std::unordered_map<workspace_id, admission::quota_limit> limits;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -484,7 +484,12 @@
     std::string bytes;
     for (const auto& event : events) {
         if (event.has_data) {
-            request->progressed = now();
+            const auto moment = now();
+            if (request->events > 0) {
+                request->longest_pause =
+                    std::max(request->longest_pause, moment - request->progressed);
+            }
+            request->progressed = moment;
         }
         const auto seen = event.id && request->last_event && *event.id <= *request->last_event;
         if (seen) {
@@ -619,6 +624,7 @@
             .add("unreachable", request.unreachable)
             .add("wait_ms", since_arrival(request.granted))
             .add("first_event_ms", since_arrival(request.first_event))
+            .add("longest_pause_ms", to_milliseconds(request.longest_pause))
             .add("total_ms", to_milliseconds(ended - request.work.arrival))
             .add("objective_ms", since_arrival(request.work.objective))
             .add("allowed_ms", to_milliseconds(request.work.deadline - request.work.arrival))
--- a/src/gateway/reports.cpp
+++ b/src/gateway/reports.cpp
@@ -78,7 +78,7 @@
     return cbor::encode(
         json::array({value.open.holder.value, value.open.started_as.value, std::move(running),
                      value.open.waiting, value.document.value, value.servers_mark, std::move(used),
-                     value.servers_age.count()}));
+                     value.servers_age.count(), value.entry_instances}));
 }
 
 std::optional<entry_report> unpack_report(const std::string& bytes, time_point) {
@@ -105,6 +105,7 @@
                                     item.at(1).get<double>());
         }
         value.servers_age = duration{in.at(7).get<duration::rep>()};
+        value.entry_instances = in.at(8).get<std::uint32_t>();
         return value;
     });
 }
--- a/tests/unit-deployment.cpp
+++ b/tests/unit-deployment.cpp
@@ -1,3 +1,5 @@
+#include <future>
+
 #include <gtest/gtest.h>
 
 #include "deployment_fixture.hpp"
@@ -32,7 +34,9 @@
         list_ = gateway::make_server_list({one}, runtime::now());
     }
     ~teller() override {
-        node_->stop();
+        if (node_) {
+            node_->stop();
+        }
     }
     void start(const settings::endpoint& at) {
         node_ = std::make_unique<wire::node>(
@@ -736,3 +740,35 @@
     EXPECT_EQ(answer.body, "done");
     EXPECT_EQ(slow.seen().size(), 1U);
 }
+
+// A new leader that had heard one of several entry instances told that one that it was alone: it
+// took all quotas and all slots for its own.
+TEST(Deployment, ANewLeaderTellsTheNumberOfEntryInstancesThatTheyKnew) {
+    gateway::entry_report report;
+    report.open = {.holder = {77}, .started_as = {5}};
+    report.entry_instances = 7;
+    const auto server = make_sound("i-1");
+    platform_deployment d;
+    d.add_server(server, "s");
+    d.start_control(0, true);
+    teller handles(server);
+    wire::node asker({.self = {77},
+                      .listen = {.address = "127.0.0.1", .port = free_port()},
+                      .locate = [&](instance_id) { return std::optional{d.control_wire()}; }},
+                     handles);
+    ASSERT_EQ(asker.start(), "");
+    std::uint32_t told = 0;
+    ASSERT_TRUE(wait_until([&] {
+        std::promise<std::optional<wire::answer>> answered;
+        asker.ask(*settings::parse_instance_address(d.control_wire().address),
+                  wire::topic::entry_report, gateway::pack(report, runtime::now()),
+                  [&](std::optional<wire::answer> answer) { answered.set_value(answer); });
+        const auto answer = answered.get_future().get();
+        const auto news =
+            answer && answer->known ? gateway::unpack_news(answer->payload) : std::nullopt;
+        told = news ? news->entry_instances : 0;
+        return news && news->schedules;
+    }));
+    EXPECT_EQ(told, 7U);
+    asker.stop();
+}
