A late request goes before the kind after the next; waiting for a cache is bounded

Change: what waits for a cache though a server has room does so for a quarter of its objective at most. Late requests of a rank stand behind the next rank in time, no longer behind all ranks: late, the users' kinds are still worth more than the kind after the next in time. Tests: GrantDesk ARequestWaitsForACacheForAPartOfItsObjectiveOnly (seen failing with the bound switched off), InsideATierTheMoreUrgentKindGoesFirstUnlessItIsLateAlready states the new order with one more kind; its old form asked for the order that starved the most urgent.

--- a/src/admission/tier_queue.cpp
+++ b/src/admission/tier_queue.cpp
@@ -165,9 +165,14 @@
                                                        time_point now) const {
     std::vector<const queued_item*> out;
     for (std::uint8_t urgency = 0; urgency <= max_urgency.value; ++urgency) {
-        for (const auto on_time : {true, false}) {
-            for (std::size_t rank = 0; rank < rank_count; ++rank) {
-                collect(levels_.at(first_level({urgency}) + rank), on_time, limit, now, out);
+        // A late answer of one kind is still worth more than one in time of the kind after the
+        // next.
+        for (std::size_t rank = 0; rank <= rank_count; ++rank) {
+            if (rank < rank_count) {
+                collect(levels_.at(first_level({urgency}) + rank), true, limit, now, out);
+            }
+            if (rank > 0) {
+                collect(levels_.at(first_level({urgency}) + rank - 1), false, limit, now, out);
             }
         }
     }
--- a/src/dispatch/placing.cpp
+++ b/src/dispatch/placing.cpp
@@ -18,6 +18,10 @@
 /// Blocks that tell one prefix from another at most.
 constexpr std::size_t root_blocks = 8;
 
+/// Part of a request's time to its latency objective that it may wait for a cache: the prefill that
+/// is saved is seldom more.
+constexpr double hold_out_share = 0.25;
+
 /// Pause between two looks at how many servers are ejected: short against their pauses.
 constexpr duration ejection_check_interval = std::chrono::milliseconds{20};
 
@@ -106,9 +110,23 @@
     return free > reserve_of(source, pool, model) ? tier{tier_count - 1} : tier{0};
 }
 
+/// Whether a request has waited so little that it may be kept back for a cache although some server
+/// has room. Without this bound, what waits for a full server or for an equal prompt's prefill was
+/// passed by others until it was late.
+bool may_hold_out(const work_item& work, time_point now) {
+    if (work.objective == time_point{}) {
+        return true;
+    }
+    const auto allowed = to_seconds(work.objective - work.arrival) * hold_out_share;
+    return now - work.arrival < from_seconds(allowed);
+}
+
 /// Whether an equal prefix is being computed at this moment, so that waiting for it is cheaper
 /// than computing it a second time.
-bool prefix_is_underway(const scheduler& source, const work_item& work) {
+bool prefix_is_underway(const scheduler& source, const work_item& work, time_point now) {
+    if (!may_hold_out(work, now)) {
+        return false;
+    }
     const auto root = prefix_root(work);
     return root && source.prefixes_underway.contains(*root);
 }
@@ -203,7 +221,10 @@
             best_cost = cost;
         }
     }
-    if (chosen == nullptr || (best_after_wait && *best_after_wait < best.finish)) {
+    if (chosen == nullptr) {
+        return nullptr;
+    }
+    if (best_after_wait && *best_after_wait < best.finish && may_hold_out(work, now)) {
         return nullptr;
     }
     if (is_better_waited(target, work, best.first_token, now)) {
@@ -255,7 +276,7 @@
         if (since.server != nullptr && !may_take(target, *since.server, candidate->work, now)) {
             continue;
         }
-        if (prefix_is_underway(target, candidate->work)) {
+        if (prefix_is_underway(target, candidate->work, now)) {
             continue;
         }
         routing::prediction predicted;
