Quotas go on from slices of the window; own desks exceed their part by the spread of a small load

Cause: whoever takes over the count knew only the sum over the window. That sum does not tell a bucket that was emptied a second ago from one that was full before, so a saturated workspace got a second bucket with each change of leaders, and half a bucket at each instance on its own besides. Change: usage is told in 16 slices of the window and the level of the bucket follows from them; an instance on its own starts with at least a tenth of its part. Besides: with 194 instances a part of 1.3 times the mean was three slots each, fewer than their load varies by; a desk that shares servers now exceeds its mean by 1.5 roots of it (20 instead of 19 of seven, 4 instead of 3 of 194).

--- a/include/tarragonspar/admission/quota.hpp
+++ b/include/tarragonspar/admission/quota.hpp
@@ -32,6 +32,11 @@
     std::unordered_map<workspace_id, bucket> buckets;
 };
 
+/// Part of each bucket that an instance starts with when it loses the one that counts: what all of
+/// them grant beyond the limit then stays within the part of the tolerance that `stretch` leaves, a
+/// quarter of the slack, for a leader that is lost and comes back within the users' window.
+inline constexpr double own_quota_floor = 0.1;
+
 /// @brief How far a limit may be stretched.
 struct quota_tolerance {
     double overage{}; ///< part beyond rate and burst that is allowed
@@ -66,20 +71,27 @@
 /// @return 0 if the units were taken, else the time after which they will be there
 [[nodiscard]] duration take(quota_table& target, const quota_wish& wish, time_point now);
 
+/// @brief Units used in equal slices of the past window, the newest first: a sum over the window
+/// alone does not tell a bucket that was emptied just now from one that was full before. The level
+/// that follows from them is wrong by what one slice refills at most.
+using usage_slices = std::array<double, 16>;
+
+using workspace_usage = std::unordered_map<workspace_id, usage_slices>;
+
 /// @brief Sets what is left in each bucket from what was used lately, wherever it was granted.
 ///
 /// Answers the loss of the instance that counted: the next one goes on from what is known.
 /// @param used      units used in the past `window`; workspaces left out used none
 /// @param at_least  part of each bucket that is there in any case
-void resume(quota_table& target, const std::unordered_map<workspace_id, double>& used,
-            duration window, double at_least, time_point now);
+void resume(quota_table& target, const workspace_usage& used, duration window, double at_least,
+            time_point now);
 
 /// @brief Units that requests used in the past window.
 class usage_window {
 public:
     explicit usage_window(duration window) : window_(window) {}
     void add(workspace_id workspace, std::uint32_t units, time_point now);
-    [[nodiscard]] std::unordered_map<workspace_id, double> used(time_point now);
+    [[nodiscard]] workspace_usage used(time_point now);
 
 private:
     struct use {
--- a/include/tarragonspar/dispatch/grant_desk.hpp
+++ b/include/tarragonspar/dispatch/grant_desk.hpp
@@ -71,8 +71,8 @@
     instance_id holder;
     incarnation started_as;
     std::vector<held_request> running;
-    std::vector<std::uint64_t> waiting;            ///< sequence numbers
-    std::unordered_map<workspace_id, double> used; ///< quota units of the past window
+    std::vector<std::uint64_t> waiting; ///< sequence numbers
+    admission::workspace_usage used;    ///< quota units that its requests used lately
 };
 
 /// @brief Options of a scheduler that has all servers of a service, and no peers.
@@ -88,7 +88,7 @@
     struct holder_state {
         incarnation started_as;
         time_point heard{};
-        std::unordered_map<workspace_id, double> used;
+        admission::workspace_usage used;
         std::map<std::uint64_t, time_point> missing; ///< granted, but not reported since then
         std::set<std::uint64_t> reported;            ///< open by the last report
     };
--- a/include/tarragonspar/gateway/control_link.hpp
+++ b/include/tarragonspar/gateway/control_link.hpp
@@ -26,7 +26,7 @@
     struct hooks {
         std::function<dispatch::holder_report()> open_requests;
         /// Quota units that this instance's requests used in the past window.
-        std::function<std::unordered_map<workspace_id, double>()> used;
+        std::function<admission::workspace_usage()> used;
         std::function<void(const config::document&)> on_document;
         std::function<void(std::uint32_t entry_instances)> on_size;
         /// The list of servers has changed.
--- a/include/tarragonspar/gateway/desk_service.hpp
+++ b/include/tarragonspar/gateway/desk_service.hpp
@@ -39,7 +39,7 @@
     void note_elsewhere(const work_item& work, server_id server);
     void resume_quotas(duration window);
     /// @brief Goes on counting quotas from this instance's own use.
-    void resume_quotas(const std::unordered_map<workspace_id, double>& used, duration window);
+    void resume_quotas(const admission::workspace_usage& used, duration window);
     void reconcile(const dispatch::holder_report& report);
 
     /// @brief Gives up everything that waits, without verdicts.
--- a/src/admission/quota.cpp
+++ b/src/admission/quota.cpp
@@ -111,14 +111,20 @@
                       max_quota_wait);
 }
 
-void resume(quota_table& target, const std::unordered_map<workspace_id, double>& used,
-            duration window, double at_least, time_point now) {
+void resume(quota_table& target, const workspace_usage& used, duration window, double at_least,
+            time_point now) {
     for (auto& [workspace, bucket] : target.buckets) {
         const auto known = used.find(workspace);
-        const auto units = known == used.end() ? 0.0 : known->second;
-        const auto refilled = bucket.limit.units_per_second * to_seconds(window);
-        bucket.units = std::clamp(bucket.limit.burst + refilled - units,
-                                  at_least * bucket.limit.burst, bucket.limit.burst);
+        const auto slices = known == used.end() ? usage_slices{} : known->second;
+        const auto slice_seconds = to_seconds(window) / static_cast<double>(slices.size());
+        auto units = bucket.limit.burst;
+        // The bucket was full at most at the beginning of each slice.
+        auto level = bucket.limit.burst;
+        for (const auto used_in_slice : slices) {
+            level += bucket.limit.units_per_second * slice_seconds - used_in_slice;
+            units = std::min(units, level);
+        }
+        bucket.units = std::max({units, at_least * bucket.limit.burst, 0.0});
         bucket.updated = now;
     }
 }
@@ -127,13 +133,16 @@
     uses_.push_back({.at = now, .workspace = workspace, .units = units});
 }
 
-std::unordered_map<workspace_id, double> usage_window::used(time_point now) {
+workspace_usage usage_window::used(time_point now) {
     while (!uses_.empty() && uses_.front().at < now - window_) {
         uses_.pop_front();
     }
-    std::unordered_map<workspace_id, double> out;
+    workspace_usage out;
     for (const auto& item : uses_) {
-        out[item.workspace] += item.units;
+        auto& slices = out[item.workspace];
+        const auto age = to_seconds(now - item.at) / to_seconds(window_);
+        const auto index = static_cast<std::size_t>(age * static_cast<double>(slices.size()));
+        slices.at(std::min(index, slices.size() - 1)) += item.units;
     }
     return out;
 }
--- a/src/dispatch/grant_desk.cpp
+++ b/src/dispatch/grant_desk.cpp
@@ -254,10 +254,11 @@
 }
 
 void resume_quotas(grant_desk& target, duration window, time_point now) {
-    std::unordered_map<workspace_id, double> used;
+    admission::workspace_usage used;
     for (const auto& [id, holder] : target.holders) {
-        for (const auto& [workspace, units] : holder.used) {
-            used[workspace] += units;
+        for (const auto& [workspace, spans] : holder.used) {
+            auto& sums = used[workspace];
+            std::transform(sums.begin(), sums.end(), spans.begin(), sums.begin(), std::plus<>());
         }
     }
     admission::resume(target.quotas, used, window, 0.0, now);
--- a/src/dispatch/placing.cpp
+++ b/src/dispatch/placing.cpp
@@ -22,6 +22,10 @@
 /// is saved is seldom more.
 constexpr double hold_out_share = 0.25;
 
+/// Standard deviations of its load above which a desk that shares servers fills no more of them:
+/// with many desks each has a few slots, and its load varies by as much.
+constexpr double shared_spread = 1.5;
+
 /// Pause between two looks at how many servers are ejected: short against their pauses.
 constexpr duration ejection_check_interval = std::chrono::milliseconds{20};
 
@@ -95,8 +99,8 @@
     if (source.options.slots_share <= 0.0) {
         return free;
     }
-    const auto own =
-        std::max(1U, static_cast<std::uint32_t>(std::ceil(all * source.options.slots_share)));
+    const auto mean = all * source.options.slots_share;
+    const auto own = static_cast<std::uint32_t>(std::ceil(mean + shared_spread * std::sqrt(mean)));
     return std::min(free, own - std::min(own, taken));
 }
 
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -31,11 +31,10 @@
 /// Other entry instances choose at the same time without a word; twice the predicted time spreads
 /// them over servers that differ by less than that.
 constexpr double own_choice_noise = 1.0;
-/// What all entry instances together may fill while each grants for itself, in parts of all slots:
-/// a little more than all, since their shares are not equally used. Engines that are overfilled
-/// queue in order of arrival and stay late for seconds after a leader is found.
-constexpr double own_slots = 1.3;
-/// The same for each single server, since they choose without a word.
+/// Part of each server's slots that all entry instances together may fill while each grants for
+/// itself: more than all, since they choose without a word. What they fill in sum is bounded
+/// besides: engines that are overfilled queue in order of arrival and stay late for seconds after a
+/// leader is found.
 constexpr double own_server_slots = 2.0;
 /// Age of the list of servers from which on it is read here.
 constexpr duration list_silence = std::chrono::milliseconds{1'500};
@@ -404,8 +403,7 @@
 
 void control_link::share_servers() {
     const auto sharing = static_cast<double>(std::max(1U, entry_instances_));
-    own_desk_->set_shares(std::min(1.0, own_slots / sharing),
-                          std::min(1.0, own_server_slots / sharing));
+    own_desk_->set_shares(1.0 / sharing, std::min(1.0, own_server_slots / sharing));
     own_desk_->set_servers(list_.servers);
 }
 
--- a/src/gateway/desk_service.cpp
+++ b/src/gateway/desk_service.cpp
@@ -12,9 +12,6 @@
 /// Pause between two looks at waiting requests: fine against latency objectives of some hundred
 /// milliseconds. Nothing ticks while nothing waits.
 constexpr auto waiting_tick = std::chrono::milliseconds{25};
-/// Part of each bucket that an entry instance starts with when it loses its scheduler: enough for
-/// requests that come together, and a sum over all instances that the tolerance covers.
-constexpr double own_quota_floor = 0.5;
 
 } // namespace
 
@@ -86,9 +83,8 @@
     dispatch::resume_quotas(desk_, window, now());
 }
 
-void desk_service::resume_quotas(const std::unordered_map<workspace_id, double>& used,
-                                 duration window) {
-    admission::resume(desk_.quotas, used, window, own_quota_floor, now());
+void desk_service::resume_quotas(const admission::workspace_usage& used, duration window) {
+    admission::resume(desk_.quotas, used, window, admission::own_quota_floor, now());
 }
 
 void desk_service::reconcile(const dispatch::holder_report& report) {
--- a/src/gateway/reports.cpp
+++ b/src/gateway/reports.cpp
@@ -72,8 +72,8 @@
                          item.work.workspace.value, item.work.model.value}));
     }
     auto used = json::array();
-    for (const auto& [workspace, units] : value.open.used) {
-        used.push_back(json::array({workspace.value, units}));
+    for (const auto& [workspace, spans] : value.open.used) {
+        used.push_back(json::array({workspace.value, spans}));
     }
     return cbor::encode(
         json::array({value.open.holder.value, value.open.started_as.value, std::move(running),
@@ -102,7 +102,7 @@
         value.servers_mark = in.at(5).get<std::uint64_t>();
         for (const auto& item : in.at(6)) {
             value.open.used.emplace(workspace_id{item.at(0).get<std::uint64_t>()},
-                                    item.at(1).get<double>());
+                                    item.at(1).get<admission::usage_slices>());
         }
         value.servers_age = duration{in.at(7).get<duration::rep>()};
         value.entry_instances = in.at(8).get<std::uint32_t>();
