A restarted instance is taken to have used its quota like the others

Cause, from its schedule and logs: an entry instance was killed at 1.0 and 4.6 s and the leader stopped at 3.1 s, so that what the instance had used before its restarts was known to nobody when the next leader went on counting. Change: reports tell for how long the instance has run; a new leader scales each slice of the window by the holders that can tell of it. Test: GrantDesk ARestartedHolderIsTakenToHaveUsedWhatTheOthersDid. Left: an instance that restarts while no leader is in reach begins with its whole part of each bucket.

--- a/include/tarragonspar/dispatch/grant_desk.hpp
+++ b/include/tarragonspar/dispatch/grant_desk.hpp
@@ -73,6 +73,7 @@
     std::vector<held_request> running;
     std::vector<std::uint64_t> waiting; ///< sequence numbers
     admission::workspace_usage used;    ///< quota units that its requests used lately
+    duration up_for{};                  ///< since its start; what it used before is not known to it
 };
 
 /// @brief Options of a scheduler that has all servers of a service, and no peers.
@@ -89,6 +90,7 @@
         incarnation started_as;
         time_point heard{};
         admission::workspace_usage used;
+        duration up_for{};
         std::map<std::uint64_t, time_point> missing; ///< granted, but not reported since then
         std::set<std::uint64_t> reported;            ///< open by the last report
     };
@@ -128,7 +130,8 @@
 void reconcile(grant_desk& target, const holder_report& report, time_point now,
                std::vector<decision>& out);
 
-/// @brief Goes on counting quotas from what all holders say that they used.
+/// @brief Goes on counting quotas from what all holders say that they used. Holders that started
+/// within the window are taken to have used before as much as the others did.
 /// @param window  time that the holders' figures cover
 void resume_quotas(grant_desk& target, duration window, time_point now);
 
--- a/include/tarragonspar/dispatch/scheduler.hpp
+++ b/include/tarragonspar/dispatch/scheduler.hpp
@@ -38,8 +38,8 @@
     /// Part by which a predicted time may be raised at random in the choice of a server; for desks
     /// beside others, which would all choose the one that is fastest for all.
     double choice_noise{0.0};
-    /// Part of all slots of a model that is this desk's, which it may exceed by the spread of a load
-    /// of that size; for desks that share the servers with others without a word. 0: all.
+    /// Part of all slots of a model that is this desk's, which it may exceed by the spread of a
+    /// load of that size; for desks that share the servers with others without a word. 0: all.
     double slots_share{0.0};
     /// The same for the slots of each server.
     double server_share{0.0};
--- a/include/tarragonspar/gateway/entry_instance.hpp
+++ b/include/tarragonspar/gateway/entry_instance.hpp
@@ -89,6 +89,7 @@
     settings::instance_settings settings_;
     std::unique_ptr<const dialect> speaks_;
     incarnation started_as_;
+    time_point started_at_;
     boost::asio::io_context context_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> keep_running_;
     boost::asio::steady_timer know_enough_; ///< what comes first waits for it; see its use
--- a/src/dispatch/grant_desk.cpp
+++ b/src/dispatch/grant_desk.cpp
@@ -1,6 +1,7 @@
 #include "tarragonspar/dispatch/grant_desk.hpp"
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <set>
 
@@ -216,6 +217,7 @@
     holder.heard = now;
     target.last_heard[report.holder] = now;
     holder.used = report.used;
+    holder.up_for = report.up_for;
     std::set<std::uint64_t> open(report.waiting.begin(), report.waiting.end());
     for (const auto& item : report.running) {
         open.insert(item.work.id.sequence);
@@ -255,10 +257,21 @@
 
 void resume_quotas(grant_desk& target, duration window, time_point now) {
     admission::workspace_usage used;
+    std::array<double, std::tuple_size_v<admission::usage_slices>> telling{};
     for (const auto& [id, holder] : target.holders) {
-        for (const auto& [workspace, spans] : holder.used) {
+        for (std::size_t slice = 0; slice < telling.size(); ++slice) {
+            const auto begin = window * (slice + 1) / telling.size();
+            telling.at(slice) += holder.up_for >= begin ? 1.0 : 0.0;
+        }
+        for (const auto& [workspace, slices] : holder.used) {
             auto& sums = used[workspace];
-            std::transform(sums.begin(), sums.end(), spans.begin(), sums.begin(), std::plus<>());
+            std::transform(sums.begin(), sums.end(), slices.begin(), sums.begin(), std::plus<>());
+        }
+    }
+    const auto holders = static_cast<double>(target.holders.size());
+    for (auto& [workspace, sums] : used) {
+        for (std::size_t slice = 0; slice < telling.size(); ++slice) {
+            sums.at(slice) *= telling.at(slice) > 0.0 ? holders / telling.at(slice) : 1.0;
         }
     }
     admission::resume(target.quotas, used, window, 0.0, now);
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -40,8 +40,9 @@
 entry_instance::entry_instance(settings::instance_settings settings,
                                std::unique_ptr<const dialect> speaks)
     : settings_(std::move(settings)), speaks_(std::move(speaks)), started_as_(make_incarnation()),
-      context_(1), keep_running_(asio::make_work_guard(context_)), know_enough_(context_),
-      used_(settings_.deployment.quota_window), random_(std::random_device{}()) {
+      started_at_(now()), context_(1), keep_running_(asio::make_work_guard(context_)),
+      know_enough_(context_), used_(settings_.deployment.quota_window),
+      random_(std::random_device{}()) {
     node_ = std::make_unique<wire::node>(make_node_options(settings_),
                                          static_cast<wire::handler&>(*this));
     repeats_.limits = make_retry_limits(settings_.deployment);
@@ -194,6 +195,7 @@
 dispatch::holder_report entry_instance::open_requests() {
     dispatch::holder_report report{.holder = settings_.id, .started_as = started_as_};
     report.used = used_.used(now());
+    report.up_for = now() - started_at_;
     for (const auto& [sequence, request] : open_) {
         if (request->running_at) {
             report.running.push_back(
--- a/src/gateway/reports.cpp
+++ b/src/gateway/reports.cpp
@@ -78,7 +78,7 @@
     return cbor::encode(
         json::array({value.open.holder.value, value.open.started_as.value, std::move(running),
                      value.open.waiting, value.document.value, value.servers_mark, std::move(used),
-                     value.servers_age.count(), value.entry_instances}));
+                     value.servers_age.count(), value.entry_instances, value.open.up_for.count()}));
 }
 
 std::optional<entry_report> unpack_report(const std::string& bytes, time_point) {
@@ -106,6 +106,7 @@
         }
         value.servers_age = duration{in.at(7).get<duration::rep>()};
         value.entry_instances = in.at(8).get<std::uint32_t>();
+        value.open.up_for = duration{in.at(9).get<duration::rep>()};
         return value;
     });
 }
--- a/tests/unit-grant_desk.cpp
+++ b/tests/unit-grant_desk.cpp
@@ -548,6 +548,26 @@
     EXPECT_EQ(f.refused.at(2).retry_after, std::chrono::seconds{1});
 }
 
+// What an instance used before its restart is known to nobody once the leader is lost as well.
+TEST(GrantDesk, ARestartedHolderIsTakenToHaveUsedWhatTheOthersDid) {
+    const auto left_with = [](duration up_for) {
+        fixture f({make_server(1, 4)});
+        admission::set_limits(f.desk.quotas,
+                              {{workspace_id{3}, {.units_per_second = 10, .burst = 100}}}, f.now);
+        admission::usage_slices slices{};
+        slices.fill(4.0); // in each half second
+        f.report({.holder = {1},
+                  .started_as = {5},
+                  .used = {{workspace_id{3}, slices}},
+                  .up_for = std::chrono::minutes{5}});
+        f.report({.holder = {2}, .started_as = {5}, .up_for = up_for});
+        resume_quotas(f.desk, std::chrono::seconds{8}, f.now);
+        return f.desk.quotas.buckets.at(workspace_id{3}).units;
+    };
+    EXPECT_EQ(left_with(std::chrono::minutes{5}), 100.0) << "64 units, 80 refilled";
+    EXPECT_NEAR(left_with(std::chrono::seconds{0}), 100.0 + 80.0 - 128.0, 0.01);
+}
+
 // Bookings of a workspace that sends many times its usual were turned away for the sake of prompts.
 TEST(GrantDesk, RequestsWithoutAPromptDoNotMakeRoomForPrompts) {
     fixture f({make_server(1, 200)});
