--- a/soak/soak.py
+++ b/soak/soak.py
@@ -55,6 +55,7 @@
         self.controls, self.quota_slack = 3, QUOTA_SLACK
         self.servers, self.calls = [], 0
         self.lag = 0.0
+        self.wiped = False
         self.version = 0
         self.last_fault = 0.0
         self.served_late = []  # moments of successes after the last fault
@@ -253,6 +254,9 @@
         busy = [i for i in group if i.disturbed and i.disturbed[-1][1] > time.monotonic()]
         if not item.running() or (role == "control" and busy) or item in busy:
             return
+        if what == "wipe" and self.wiped:
+            return  # a group of three bears the loss of one disk
+        self.wiped = self.wiped or what == "wipe"
         item.disturb(9.0 if what == "term" else 4.0)
         if what == "stop":
             item.send(signal.SIGSTOP)
