A spoiled question is read without an unfinished aggregate

In a leader this could have ended the process on a malformed message. Change: the question is built one step a statement. Test: Decoders QuestionsOfOtherInstancesAreBorneByTheDesk under the sanitizer, failing before, passing after.

--- a/src/gateway/reports.cpp
+++ b/src/gateway/reports.cpp
@@ -149,16 +149,20 @@
 }
 
 std::optional<grant_question> unpack_question(const std::string& bytes, time_point now) {
-    const auto read = read_cbor(bytes, [&](const json& in) {
-        const auto work = wire::unpack_work(cbor::bytes_of(in.at(1)), now);
-        const auto earlier = in.at(0).get<std::uint8_t>();
-        const auto& notice = in.at(2);
-        return work ? std::optional{grant_question{
-                          .work = *work,
-                          .earlier = static_cast<dispatch::earlier_grant>(earlier),
-                          .notice = notice.is_null() ? std::optional<dispatch::server_notice>{}
-                                                     : read_notice(notice)}}
-                    : std::nullopt;
+    // One step a statement: the compiler destroys an unfinished aggregate of a conditional twice
+    // when a part of it throws.
+    const auto read = read_cbor(bytes, [&](const json& in) -> std::optional<grant_question> {
+        auto work = wire::unpack_work(cbor::bytes_of(in.at(1)), now);
+        if (!work) {
+            return std::nullopt;
+        }
+        grant_question value;
+        value.work = std::move(*work);
+        value.earlier = static_cast<dispatch::earlier_grant>(in.at(0).get<std::uint8_t>());
+        if (!in.at(2).is_null()) {
+            value.notice = read_notice(in.at(2));
+        }
+        return value;
     });
     return read ? *read : std::nullopt;
 }
