--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -166,7 +166,9 @@
 std::optional<work_item> unpack_work(std::string_view bytes, time_point now) {
     // The reader asks for whole, aligned words.
     std::vector<capnp::word> words(bytes.size() / sizeof(capnp::word));
-    std::memcpy(words.data(), bytes.data(), words.size() * sizeof(capnp::word));
+    if (!words.empty()) {
+        std::memcpy(words.data(), bytes.data(), words.size() * sizeof(capnp::word));
+    }
     std::optional<work_item> value;
     const auto failed = kj::runCatchingExceptions([&] {
         capnp::FlatArrayMessageReader reader(kj::arrayPtr(words.data(), words.size()));
