A stop resets no connection that was being opened

Between the last accept of what waits and the close of the listening socket another connection can come into the kernel's queue, and the close resets it: its caller has sent a request on an opened connection. Also, a connection was counted only when its coroutine began, so a stop could overlook one that had just been accepted. Ruled out: idle connections that are closed (each caller opens its own and is left a second). Change: a filter on the listening socket drops requests to open a connection, handshakes under way are left 50 ms, what waits is accepted, then the socket is closed; connections count from the accept on, and a stop ends when the socket is closed and none is open (server::has_ended). An error of one connection is logged.

--- a/include/tarragonspar/http/server.hpp
+++ b/include/tarragonspar/http/server.hpp
@@ -36,9 +36,14 @@
     /// @brief Starts to accept.
     void start();
 
-    /// @brief Accepts what has connected already, then nothing more.
+    /// @brief Accepts what has connected already and what is being opened, then nothing more.
     void stop_accepting();
 
+    /// @brief Whether nothing more is accepted and no connection is open.
+    [[nodiscard]] bool has_ended() const noexcept {
+        return closed_ && connections_ == 0;
+    }
+
     /// @brief Replaces the limits on requests to come.
     void set_limits(const settings::http_limits& limits);
 
@@ -60,6 +65,7 @@
 
 private:
     boost::asio::awaitable<void> accept_loop();
+    boost::asio::awaitable<void> close_acceptor();
     void accept_waiting();
     void take(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
@@ -70,7 +76,8 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     std::atomic<std::size_t> connections_{0};
     std::atomic<bool> leaving_{false};  ///< connections end after their next answer
-    std::atomic<bool> stopping_{false}; ///< nothing more is accepted
+    std::atomic<bool> stopping_{false}; ///< the acceptor is being closed
+    std::atomic<bool> closed_{false};   ///< nothing more is accepted
     std::atomic<std::shared_ptr<const settings::http_limits>> limits_;
     std::shared_ptr<detail::idle_list> idle_;
     std::atomic<std::shared_ptr<boost::asio::ssl::context>> tls_;
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -136,7 +136,7 @@
     do {
         front_->close_idle();
         std::this_thread::sleep_for(drain_poll);
-    } while (front_->connections() > 0 && std::chrono::steady_clock::now() < end);
+    } while (!front_->has_ended() && std::chrono::steady_clock::now() < end);
     asio::post(context_, [this] {
         link_->stop();
         directory_->stop();
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -5,7 +5,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
+#include "tarragonspar/http/detail/new_connections.hpp"
 #include "tarragonspar/http/detail/serve.hpp"
+#include "tarragonspar/telemetry/log.hpp"
 
 namespace tarragonspar::http {
 
@@ -18,24 +20,21 @@
 constexpr int listen_backlog = 1024;
 /// Pause after a failed accept, such as for lack of file descriptors.
 constexpr auto accept_pause = std::chrono::milliseconds{50};
-
-/// Counts a connection for as long as it is served.
-class connection_count {
-public:
-    explicit connection_count(std::atomic<std::size_t>& count) : count_(count) {
-        ++count_;
+/// Time that connections which are being opened are left before the listening socket is closed: the
+/// longest round trip expected between a caller and an instance.
+constexpr auto handshake_time = std::chrono::milliseconds{50};
+
+/// An error of one connection ends that connection only.
+void note_unexpected(const std::exception_ptr& error) {
+    if (!error) {
+        return;
     }
-    connection_count(const connection_count&) = delete;
-    connection_count& operator=(const connection_count&) = delete;
-    connection_count(connection_count&&) = delete;
-    connection_count& operator=(connection_count&&) = delete;
-    ~connection_count() {
-        --count_;
+    try {
+        std::rethrow_exception(error);
+    } catch (const std::exception& what) {
+        telemetry::write(telemetry::log_line("unexpected_error").add("what", what.what()));
     }
-
-private:
-    std::atomic<std::size_t>& count_;
-};
+}
 
 } // namespace
 
@@ -65,12 +64,26 @@
 
 void server::stop_accepting() {
     leaving_ = true;
-    stopping_ = true;
-    asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
-        self->accept_waiting();
-        boost::system::error_code ignored;
-        self->acceptor_.close(ignored);
-    });
+    if (stopping_.exchange(true)) {
+        return;
+    }
+    asio::co_spawn(
+        acceptor_.get_executor(), [self = shared_from_this()] { return self->close_acceptor(); },
+        asio::detached);
+}
+
+asio::awaitable<void> server::close_acceptor() {
+    if (const auto error = detail::drop_new_connections(acceptor_.native_handle())) {
+        telemetry::write(telemetry::log_line("new_connections_not_dropped")
+                             .add("address", options_.listen.address)
+                             .add("why", error.message()));
+    }
+    asio::steady_timer pause(acceptor_.get_executor(), handshake_time);
+    co_await pause.async_wait(detail::as_result);
+    accept_waiting();
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    closed_ = true;
 }
 
 void server::accept_waiting() {
@@ -104,10 +117,10 @@
 }
 
 asio::awaitable<void> server::accept_loop() {
-    while (!stopping_) {
+    while (!closed_) {
         auto [error, socket] =
             co_await acceptor_.async_accept(asio::make_strand(context_), detail::as_result);
-        if (error && stopping_) {
+        if (error && closed_) {
             co_return;
         }
         if (error) {
@@ -123,17 +136,21 @@
     if (connections_ >= limits_.load()->max_connections) {
         return; // dropping the socket closes it
     }
+    // Counted from here, so that a stop doesn't overlook a connection whose coroutine hasn't begun.
+    ++connections_;
     auto executor = socket.get_executor();
     asio::co_spawn(
         executor,
         [self = shared_from_this(), connection = std::move(socket)]() mutable {
             return self->serve(std::move(connection));
         },
-        asio::detached);
+        [self = shared_from_this()](const std::exception_ptr& error) {
+            --self->connections_;
+            note_unexpected(error);
+        });
 }
 
 asio::awaitable<void> server::serve(tcp::socket socket) {
-    const connection_count counted(connections_);
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     const auto tls = tls_.load();
--- a/src/runtime/instance.cpp
+++ b/src/runtime/instance.cpp
@@ -244,7 +244,7 @@
         }
         // A connection that was just accepted may carry a request that nobody has counted yet.
         server_->close_idle();
-        if (server_->connections() == 0) {
+        if (server_->has_ended()) {
             break;
         }
     }
