A new leader counts the use of holders that stopped before it heard them

Ruled out earlier: buckets at own desks (they start from their slices). Change: resume_quotas takes the number of holders that reports speak of; unheard ones are taken to have used as much as the others did, as restarted ones are already.

--- a/include/tarragonspar/dispatch/grant_desk.hpp
+++ b/include/tarragonspar/dispatch/grant_desk.hpp
@@ -131,9 +131,11 @@
                std::vector<decision>& out);
 
 /// @brief Goes on counting quotas from what all holders say that they used. Holders that started
-/// within the window are taken to have used before as much as the others did.
-/// @param window  time that the holders' figures cover
-void resume_quotas(grant_desk& target, duration window, time_point now);
+/// within the window are taken to have used before as much as the others did, and so are those that
+/// stopped without having been heard here.
+/// @param window    time that the holders' figures cover
+/// @param expected  holders that there were under the desk before, if that is known
+void resume_quotas(grant_desk& target, duration window, std::size_t expected, time_point now);
 
 /// @brief Time has passed: looks for deadlines that can't be met and holders that went silent.
 void tick(grant_desk& target, time_point now, std::vector<decision>& out);
--- a/include/tarragonspar/gateway/desk_service.hpp
+++ b/include/tarragonspar/gateway/desk_service.hpp
@@ -37,7 +37,7 @@
     [[nodiscard]] std::optional<dispatch::server_notice> find_notice(server_id server,
                                                                      instance_id holder) const;
     void note_elsewhere(const work_item& work, server_id server);
-    void resume_quotas(duration window);
+    void resume_quotas(duration window, std::size_t expected_holders);
     /// @brief Goes on counting quotas from this instance's own use.
     void resume_quotas(const admission::workspace_usage& used, duration window);
     void reconcile(const dispatch::holder_report& report);
--- a/src/dispatch/grant_desk.cpp
+++ b/src/dispatch/grant_desk.cpp
@@ -255,7 +255,7 @@
     }
 }
 
-void resume_quotas(grant_desk& target, duration window, time_point now) {
+void resume_quotas(grant_desk& target, duration window, std::size_t expected, time_point now) {
     admission::workspace_usage used;
     std::array<double, std::tuple_size_v<admission::usage_slices>> telling{};
     for (const auto& [id, holder] : target.holders) {
@@ -268,7 +268,7 @@
             std::transform(sums.begin(), sums.end(), slices.begin(), sums.begin(), std::plus<>());
         }
     }
-    const auto holders = static_cast<double>(target.holders.size());
+    const auto holders = static_cast<double>(std::max(target.holders.size(), expected));
     for (auto& [workspace, sums] : used) {
         for (std::size_t slice = 0; slice < telling.size(); ++slice) {
             sums.at(slice) *= telling.at(slice) > 0.0 ? holders / telling.at(slice) : 1.0;
--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -197,7 +197,7 @@
         return;
     }
     schedules_ = true;
-    desk_->resume_quotas(settings_.deployment.quota_window);
+    desk_->resume_quotas(settings_.deployment.quota_window, expected_holders_);
     telemetry::write(telemetry::log_line("schedules")
                          .add("entry_instances", static_cast<std::int64_t>(desk_->holders().size()))
                          .add("servers", static_cast<std::int64_t>(list_.servers.size())));
--- a/src/gateway/desk_service.cpp
+++ b/src/gateway/desk_service.cpp
@@ -79,8 +79,8 @@
     return dispatch::find_notice(desk_, server, holder, now());
 }
 
-void desk_service::resume_quotas(duration window) {
-    dispatch::resume_quotas(desk_, window, now());
+void desk_service::resume_quotas(duration window, std::size_t expected_holders) {
+    dispatch::resume_quotas(desk_, window, expected_holders, now());
 }
 
 void desk_service::resume_quotas(const admission::workspace_usage& used, duration window) {
--- a/tests/unit-grant_desk.cpp
+++ b/tests/unit-grant_desk.cpp
@@ -561,13 +561,30 @@
                   .used = {{workspace_id{3}, slices}},
                   .up_for = std::chrono::minutes{5}});
         f.report({.holder = {2}, .started_as = {5}, .up_for = up_for});
-        resume_quotas(f.desk, std::chrono::seconds{8}, f.now);
+        resume_quotas(f.desk, std::chrono::seconds{8}, 2, f.now);
         return f.desk.quotas.buckets.at(workspace_id{3}).units;
     };
     EXPECT_EQ(left_with(std::chrono::minutes{5}), 100.0) << "64 units, 80 refilled";
     EXPECT_NEAR(left_with(std::chrono::seconds{0}), 100.0 + 80.0 - 128.0, 0.01);
 }
 
+// A leader is lost, then an instance stops: what it used is told to no later leader.
+TEST(GrantDesk, AHolderThatStoppedUnheardIsTakenToHaveUsedWhatTheOthersDid) {
+    fixture f({make_server(1, 4)});
+    admission::set_limits(f.desk.quotas,
+                          {{workspace_id{3}, {.units_per_second = 10, .burst = 100}}}, f.now);
+    admission::usage_slices slices{};
+    slices.fill(3.5); // in each half second
+    for (const std::uint32_t holder : {1U, 2U}) {
+        f.report({.holder = {holder},
+                  .started_as = {5},
+                  .used = {{workspace_id{3}, slices}},
+                  .up_for = std::chrono::minutes{5}});
+    }
+    resume_quotas(f.desk, std::chrono::seconds{8}, 3, f.now);
+    EXPECT_NEAR(f.desk.quotas.buckets.at(workspace_id{3}).units, 100.0 + 80.0 - 168.0, 0.01);
+}
+
 // Bookings of a workspace that sends many times its usual were turned away for the sake of prompts.
 TEST(GrantDesk, RequestsWithoutAPromptDoNotMakeRoomForPrompts) {
     fixture f({make_server(1, 200)});
