A planned stop answers what can't end in time

Change: a stop ends open requests and new ones 300 ms before its own end, with their final answer (504, may have run). Test: Deployment.AStopEndsWhatCannotEndInTimeWithAnAnswer, two cut callers before, two times 504 after.

--- a/include/tarragonspar/gateway/entry_instance.hpp
+++ b/include/tarragonspar/gateway/entry_instance.hpp
@@ -66,6 +66,8 @@
                                     http::reply& refused);
     void fill_work(relayed_request& request);
     void watch(const request_ptr& request, http::exchange& with);
+    /// @brief Ends the request at its deadline, or before this instance ends.
+    void limit_time(const request_ptr& request);
     void watch_progress(const request_ptr& request);
     static void await_progress(const request_ptr& request);
     void take_notices(relayed_request& request, const answer_marks& marks);
@@ -107,6 +109,7 @@
     std::shared_ptr<const config::catalogue_index> catalogue_;
     config::document document_; ///< what `catalogue_` was read from
     std::unordered_map<std::uint64_t, request_ptr> open_;
+    time_point must_end_{time_point::max()}; ///< a stop leaves requests no longer than this
     std::uint64_t next_sequence_{0};
     admission::retry_allowance repeats_;
     admission::usage_window used_;
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -18,6 +18,9 @@
 constexpr auto leave_notice = std::chrono::milliseconds{2'300};
 /// Part of the grace that is left unused, so that the process ends by itself.
 constexpr auto grace_margin = std::chrono::milliseconds{400};
+/// Time before that end at which requests that are still open get their final answer, so that none
+/// is cut.
+constexpr auto last_answers = std::chrono::milliseconds{300};
 /// Time after its start for which an instance holds requests until it knows a catalogue and
 /// servers: a group that lost power elects a leader and tells them within 0.9 s, and a caller that
 /// is told to come back returns after a second, past its latency objective.
@@ -122,6 +125,13 @@
     const auto asked = std::chrono::steady_clock::now();
     const auto end = asked + settings_.deployment.grace - grace_margin;
     leaving_ = true;
+    const duration time_left = settings_.deployment.grace - grace_margin - last_answers;
+    asio::post(context_, [this, must_end = now() + time_left] {
+        must_end_ = must_end;
+        for (const auto& [sequence, request] : open_) {
+            limit_time(request);
+        }
+    });
     telemetry::write(telemetry::log_line("leaving").add(
         "open_requests", static_cast<std::int64_t>(open_count_.load())));
     std::this_thread::sleep_for(leave_notice);
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -170,7 +170,11 @@
         }
         request->wake.cancel();
     });
-    request->limit.expires_after(request->work.deadline - now());
+    limit_time(request);
+}
+
+void entry_instance::limit_time(const request_ptr& request) {
+    request->limit.expires_after(std::min(request->work.deadline, must_end_) - now());
     request->limit.async_wait([request](boost::system::error_code error) {
         if (error) {
             return;
--- a/tests/unit-deployment.cpp
+++ b/tests/unit-deployment.cpp
@@ -440,6 +440,41 @@
     EXPECT_EQ(whole, sent);
 }
 
+// A server that never answers must not keep a caller until the instance's time is over and its
+// connection is cut.
+TEST(Deployment, AStopEndsWhatCannotEndInTimeWithAnAnswer) {
+    std::atomic<bool> over{false};
+    const scripted_server silent("i-1", [&](const seen_request&, asio::ip::tcp::socket&) {
+        while (!over) {
+            std::this_thread::sleep_for(std::chrono::milliseconds{10});
+        }
+    });
+    platform_deployment d;
+    d.add_server(silent, "s");
+    auto manifest = nlohmann::json::parse(make_manifest(1));
+    for (auto& route : manifest["routes"]) {
+        route["timeout_ms"] = 60'000;
+    }
+    d.serve(manifest.dump());
+    std::vector<unsigned> statuses(2);
+    std::vector<std::thread> callers;
+    const auto call = [&](std::size_t index) {
+        statuses.at(index) = d.call("POST", "/unsafe/x", "b", {{"Deadline-Ms", "60000"}}).status;
+    };
+    callers.emplace_back(call, 0);
+    ASSERT_TRUE(wait_until([&] { return !silent.seen().empty(); }));
+    std::thread leaving([&] { d.entry(0).shut_down(); });
+    ASSERT_TRUE(wait_until([&] { return d.ready().status == 503; }));
+    callers.emplace_back(call, 1); // after the stop has begun
+    leaving.join();
+    over = true;
+    d.stop_entry(0);
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    EXPECT_EQ(statuses, (std::vector<unsigned>{504, 504})) << "it may have run";
+}
+
 TEST(Deployment, AnAnswerCutBeforeItsEndIsNotPassedOnAsWhole) {
     const scripted_server cut(
         "i-1", [](const seen_request& request, asio::ip::tcp::socket& socket) {
