--- a/soak/servers.py
+++ b/soak/servers.py
@@ -47,7 +47,8 @@
         self.open.add(writer)
         try:
             await self.answer(reader, writer)
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, OSError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, OSError,
+                asyncio.CancelledError):  # asyncio prints the cancelled ones at the run's end
             pass
         finally:
             self.open.discard(writer)
@@ -151,7 +152,7 @@
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d"
                          b"\r\nConnection: close\r\n\r\n" % len(body) + body)
             await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError, OSError):
+        except (ConnectionError, asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
