--- a/tests/unit-deployment.cpp
+++ b/tests/unit-deployment.cpp
@@ -712,16 +712,18 @@
 }
 
 TEST(Deployment, AStalledStreamThatMayRunOnceEnds) {
-    std::atomic<bool> ended{false};
+    // More than callers wait between two events.
+    constexpr int beats = 200;
+    std::atomic<bool> left_early{false};
     const scripted_server stalled(
         "i-1", [&](const seen_request& request, asio::ip::tcp::socket& socket) {
             write_raw(socket, stream_head(request, "sig") + chunk(event_text(1)));
             boost::system::error_code error;
-            while (!error) {
+            for (int beat = 0; beat < beats && !error; ++beat) {
                 asio::write(socket, asio::buffer(chunk(": still here\n\n")), error);
                 std::this_thread::sleep_for(std::chrono::milliseconds{50});
             }
-            ended = true;
+            left_early = static_cast<bool>(error);
         });
     platform_deployment d;
     d.add_server(stalled, "s");
@@ -733,23 +735,30 @@
     d.serve(manifest.dump());
     const auto answer = d.call_fully("POST", "/once/x", "b", {{"Deadline-Ms", "60000"}});
     EXPECT_FALSE(answer.whole);
-    EXPECT_TRUE(wait_until([&] { return ended.load(); }));
+    EXPECT_TRUE(wait_until([&] { return left_early.load(); }));
 }
 
 TEST(Deployment, AnEndlessEventEndsAsMayHaveRun) {
+    // What sockets buffer and one event may hold, several times.
+    constexpr std::size_t few_bytes = 32UL * 1024 * 1024;
+    std::atomic<std::size_t> written{0};
+    std::atomic<bool> closed{false};
     const scripted_server endless(
-        "i-1", [](const seen_request& request, asio::ip::tcp::socket& socket) {
+        "i-1", [&](const seen_request& request, asio::ip::tcp::socket& socket) {
             write_raw(socket, stream_head(request, "sig"));
             boost::system::error_code error;
-            while (!error) {
-                asio::write(socket, asio::buffer(chunk("data: " + std::string(16'000, 'a') + "\n")),
-                            error);
+            while (!error && written < 2 * few_bytes) {
+                written += asio::write(
+                    socket, asio::buffer(chunk("data: " + std::string(16'000, 'a') + "\n")), error);
             }
+            closed = true;
         });
     platform_deployment d;
     d.add_server(endless, "s");
     d.serve(make_manifest(1));
     EXPECT_EQ(d.call("POST", "/once/x", "b", {}).status, 502U);
+    EXPECT_TRUE(wait_until([&] { return closed.load(); }));
+    EXPECT_LT(written, few_bytes);
 }
 
 // An instance that is only silent keeps what it runs: nothing is started again elsewhere.
--- a/tests/unit-grant_desk.cpp
+++ b/tests/unit-grant_desk.cpp
@@ -205,6 +205,19 @@
     EXPECT_EQ(f.desk.decisions.servers.at(leaving).in_flight, 0U);
 }
 
+TEST(GrantDesk, GrantsThatCameBackUnusedAreNoFaultOfTheServer) {
+    fixture f({make_server(1, 1)});
+    const auto work = f.make(1, 0);
+    f.ask(work);
+    constexpr int many = 20;
+    for (int again = 0; again < many; ++again) {
+        f.granted.clear();
+        f.ask(work, earlier_grant::unused);
+        ASSERT_TRUE(f.granted.contains(1)) << "after " << again << " grants";
+    }
+    EXPECT_TRUE(routing::allows(f.desk.decisions.servers.at(server_id{1}).breaker, f.now));
+}
+
 // A lost grant must not keep its slot for ever: the holder's reports don't list it.
 TEST(GrantDesk, AGrantThatItsHolderDoesNotKnowIsTakenBack) {
     fixture f({make_server(1)});
