Where nobody can tell what a workspace used, its bucket begins empty

Change: for the newest part of the window that no heard holder was up for, all units that there were count as used; what was used before that changes nothing, and the bucket refills from there. Test: GrantDesk.WhereNobodyCanTellWhatWasUsedABucketBeginsEmpty (100 instead of 0 and 20 units before).

--- a/include/tarragonspar/dispatch/grant_desk.hpp
+++ b/include/tarragonspar/dispatch/grant_desk.hpp
@@ -132,7 +132,8 @@
 
 /// @brief Goes on counting quotas from what all holders say that they used. Holders that started
 /// within the window are taken to have used before as much as the others did, and so are those that
-/// stopped without having been heard here.
+/// stopped without having been heard here. Where no holder goes back far enough to tell, all units
+/// that there were are taken to be used.
 /// @param window    time that the holders' figures cover
 /// @param expected  holders that there were under the desk before, if that is known
 void resume_quotas(grant_desk& target, duration window, std::size_t expected, time_point now);
--- a/src/dispatch/grant_desk.cpp
+++ b/src/dispatch/grant_desk.cpp
@@ -269,9 +269,18 @@
         }
     }
     const auto holders = static_cast<double>(std::max(target.holders.size(), expected));
-    for (auto& [workspace, sums] : used) {
-        for (std::size_t slice = 0; slice < telling.size(); ++slice) {
-            sums.at(slice) *= telling.at(slice) > 0.0 ? holders / telling.at(slice) : 1.0;
+    const auto slice_seconds = to_seconds(window) / static_cast<double>(telling.size());
+    for (const auto& [workspace, bucket] : target.quotas.buckets) {
+        auto& sums = used[workspace];
+        const auto all_there_was =
+            bucket.limit.burst + bucket.limit.units_per_second * slice_seconds;
+        std::size_t slice = 0;
+        for (; slice < telling.size() && telling.at(slice) > 0.0; ++slice) {
+            sums.at(slice) *= holders / telling.at(slice);
+        }
+        if (slice < telling.size()) {
+            sums.at(slice) = all_there_was; // what was used before that changes nothing
+            std::fill(sums.begin() + static_cast<std::ptrdiff_t>(slice) + 1, sums.end(), 0.0);
         }
     }
     admission::resume(target.quotas, used, window, 0.0, now);
--- a/tests/unit-grant_desk.cpp
+++ b/tests/unit-grant_desk.cpp
@@ -598,6 +598,22 @@
     EXPECT_NEAR(f.desk.quotas.buckets.at(workspace_id{3}).units, 100.0 + 80.0 - 168.0, 0.01);
 }
 
+// All entry instances restarted shortly before the leader was lost, or only a restarted one has
+// been heard: what was used before is told by nobody, and a full bucket would be a second one.
+TEST(GrantDesk, WhereNobodyCanTellWhatWasUsedABucketBeginsEmpty) {
+    const auto left_with = [](duration up_for) {
+        fixture f({make_server(1, 4)});
+        admission::set_limits(f.desk.quotas,
+                              {{workspace_id{3}, {.units_per_second = 10, .burst = 100}}}, f.now);
+        f.report({.holder = {1}, .started_as = {5}, .up_for = up_for});
+        resume_quotas(f.desk, std::chrono::seconds{8}, 1, f.now);
+        return f.desk.quotas.buckets.at(workspace_id{3}).units;
+    };
+    EXPECT_NEAR(left_with(milliseconds{100}), 0.0, 0.01);
+    EXPECT_NEAR(left_with(std::chrono::seconds{2}), 20.0, 0.01) << "refilled since";
+    EXPECT_NEAR(left_with(std::chrono::seconds{8}), 100.0, 0.01) << "nothing was used";
+}
+
 // Bookings of a workspace that sends many times its usual were turned away for the sake of prompts.
 TEST(GrantDesk, RequestsWithoutAPromptDoNotMakeRoomForPrompts) {
     fixture f({make_server(1, 200)});
