--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -4,10 +4,10 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
+#include <glog/logging.h>
 
 #include "tarragonspar/http/detail/new_connections.hpp"
 #include "tarragonspar/http/detail/serve.hpp"
-#include "tarragonspar/telemetry/log.hpp"
 
 namespace tarragonspar::http {
 
@@ -32,7 +32,7 @@
     try {
         std::rethrow_exception(error);
     } catch (const std::exception& what) {
-        telemetry::write(telemetry::log_line("unexpected_error").add("what", what.what()));
+        LOG(ERROR) << "event=unexpected_error what=\"" << what.what() << '"';
     }
 }
 
@@ -74,9 +74,8 @@
 
 asio::awaitable<void> server::close_acceptor() {
     if (const auto error = detail::drop_new_connections(acceptor_.native_handle())) {
-        telemetry::write(telemetry::log_line("new_connections_not_dropped")
-                             .add("address", options_.listen.address)
-                             .add("why", error.message()));
+        LOG(WARNING) << "event=new_connections_not_dropped address=" << options_.listen.address
+                     << " why=\"" << error.message() << '"';
     }
     asio::steady_timer pause(acceptor_.get_executor(), handshake_time);
     co_await pause.async_wait(detail::as_result);
