A stop refuses what comes too late on a kept connection, and lets answers under way end

Ruled out: the listening socket (the instance's log shows no late accept; its test is clean). Change: a request that comes after half of the grace is refused at once, 503 with Retry-After, connection closed; the bound before the end holds for requests whose answer has not begun, an answer under way goes on.

--- a/include/tarragonspar/gateway/entry_instance.hpp
+++ b/include/tarragonspar/gateway/entry_instance.hpp
@@ -109,7 +109,8 @@
     std::shared_ptr<const config::catalogue_index> catalogue_;
     config::document document_; ///< what `catalogue_` was read from
     std::unordered_map<std::uint64_t, request_ptr> open_;
-    time_point must_end_{time_point::max()}; ///< a stop leaves requests no longer than this
+    time_point must_end_{time_point::max()};   ///< a stop leaves requests no longer than this
+    time_point last_taken_{time_point::max()}; ///< a stop takes no request after this
     std::uint64_t next_sequence_{0};
     admission::retry_allowance repeats_;
     admission::usage_window used_;
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -126,8 +126,10 @@
     const auto end = asked + settings_.deployment.grace - grace_margin;
     leaving_ = true;
     const duration time_left = settings_.deployment.grace - grace_margin - last_answers;
-    asio::post(context_, [this, must_end = now() + time_left] {
-        must_end_ = must_end;
+    const duration time_to_take = settings_.deployment.grace / 2;
+    asio::post(context_, [this, begin = now(), time_left, time_to_take] {
+        must_end_ = begin + time_left;
+        last_taken_ = begin + time_to_take;
         for (const auto& [sequence, request] : open_) {
             limit_time(request);
         }
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -174,11 +174,18 @@
 }
 
 void entry_instance::limit_time(const request_ptr& request) {
-    request->limit.expires_after(std::min(request->work.deadline, must_end_) - now());
-    request->limit.async_wait([request](boost::system::error_code error) {
+    const auto deadline = request->work.deadline;
+    // An answer that is being passed on may still end by itself.
+    const auto until = request->begun ? deadline : std::min(deadline, must_end_);
+    request->limit.expires_after(until - now());
+    request->limit.async_wait([this, request](boost::system::error_code error) {
         if (error) {
             return;
         }
+        if (request->begun && now() < request->work.deadline) {
+            limit_time(request);
+            return;
+        }
         request->timed_out = true;
         if (request->call) {
             request->call->close();
@@ -240,7 +247,12 @@
         co_await know_enough_.async_wait(http::detail::as_result);
     }
     http::reply refused;
-    auto request = admit(with.request(), arrival, refused);
+    request_ptr request;
+    if (now() < last_taken_) {
+        request = admit(with.request(), arrival, refused);
+    } else {
+        refused = make_refusal(status_unavailable, "this instance stops", {}, random_);
+    }
     if (!request) {
         telemetry::write(telemetry::log_line("request_rejected")
                              .add("status", refused.status)
--- a/tests/unit-deployment.cpp
+++ b/tests/unit-deployment.cpp
@@ -475,6 +475,48 @@
     EXPECT_EQ(statuses, (std::vector<unsigned>{504, 504})) << "it may have run";
 }
 
+// An answer that had begun before the stop promised its caller that the connection stays, so the
+// next request may come when the instance has no time left for it.
+TEST(Deployment, AStopRefusesWhatComesTooLateOnAKeptConnection) {
+    const scripted_server slow(
+        "i-1", [](const seen_request& request, asio::ip::tcp::socket& socket) {
+            write_raw(socket, stream_head(request, "sig") + chunk(event_text(1)));
+            for (int id = 2; id <= 5; ++id) {
+                std::this_thread::sleep_for(std::chrono::milliseconds{900});
+                write_raw(socket, chunk(event_text(id)));
+            }
+            write_raw(socket, "0\r\n\r\n");
+        });
+    platform_deployment d;
+    d.add_server(slow, "s");
+    d.serve(make_manifest(1));
+    asio::io_context context;
+    asio::ip::tcp::socket caller(context);
+    caller.connect(d.front());
+    const auto request = [](const std::string& name) {
+        return "POST /once/x HTTP/1.1\r\nHost: h.example\r\nKey: k\r\nAttempt-Id: " + name +
+               "\r\nDeadline-Ms: 8000\r\nContent-Length: 0\r\n\r\n";
+    };
+    write_raw(caller, request("first"));
+    ASSERT_TRUE(wait_until([&] { return !slow.seen().empty(); }));
+    std::thread leaving([&] { d.entry(0).shut_down(); });
+    ASSERT_TRUE(wait_until([&] { return d.ready().status == 503; }));
+    write_raw(caller, request("second")); // read once the first answer has ended
+    boost::beast::flat_buffer buffer;
+    beast_http::response<beast_http::string_body> first;
+    beast_http::response<beast_http::string_body> second;
+    boost::system::error_code error;
+    beast_http::read(caller, buffer, first, error);
+    EXPECT_FALSE(error) << error.message() << ": the answer in flight is whole";
+    beast_http::read(caller, buffer, second, error);
+    leaving.join();
+    ASSERT_FALSE(error);
+    EXPECT_EQ(second.result_int(), 503U);
+    EXPECT_FALSE(second["Retry-After"].empty());
+    EXPECT_FALSE(second.keep_alive());
+    EXPECT_EQ(slow.seen().size(), 1U) << "what is refused has not run";
+}
+
 TEST(Deployment, AnAnswerCutBeforeItsEndIsNotPassedOnAsWhole) {
     const scripted_server cut(
         "i-1", [](const seen_request& request, asio::ip::tcp::socket& socket) {
