A member that doesn't lead passes a request to join on to the leader

Of four control instances one was wiped at 31.2 s; the leader elected then was the one that the wiped one's settings don't name. It asked the two that they name, which dropped the request as they didn't lead; for 15 s it was no member, and when all lost power and another disk was wiped, two of four voters were left: no leader, no document for any entry instance ('no catalogue is known yet' in 2,954 rejections). Change: such a request is passed on once to the leader that the member knows.

--- a/include/tarragonspar/runtime/control_service.hpp
+++ b/include/tarragonspar/runtime/control_service.hpp
@@ -123,6 +123,9 @@
     void read_here(std::function<void(std::optional<config::document>)> done);
     [[nodiscard]] std::vector<instance_id> other_replicas() const;
     [[nodiscard]] std::string load_founders(bool founding);
+    /// @brief Tells the leader of a replica that asks to join, since that one may not know the
+    /// leader.
+    void pass_on_join(consensus::replica_id joining);
     void take_join(consensus::replica_id joining);
     void submit_here(std::string bytes, std::function<void(std::optional<std::string>)> done);
     void submit_anywhere(std::string bytes, std::vector<instance_id> candidates, int attempts,
--- a/src/runtime/control_commands.cpp
+++ b/src/runtime/control_commands.cpp
@@ -40,6 +40,16 @@
     }
 }
 
+void control_service::pass_on_join(consensus::replica_id joining) {
+    const auto leader = replica_ ? replica_->leader : std::nullopt;
+    if (!leader || *leader == replica_->self) {
+        return; // it asks again
+    }
+    const auto payload = json{{"join", joining.value}, {"passed_on", true}}.dump();
+    node_.ask(consensus::instance_of(*leader), wire::topic::change, payload,
+              [](std::optional<wire::answer>) {});
+}
+
 void control_service::take_join(consensus::replica_id joining) {
     if (!replica_ || replica_->current != consensus::role::leader || is_changing_group(*replica_)) {
         return;
@@ -179,7 +189,12 @@
         }
         const auto joining = json::parse(payload, nullptr, false);
         if (joining.is_object() && joining.contains("join")) {
-            self->take_join({joining.at("join").get<std::uint64_t>()});
+            const consensus::replica_id id{joining.at("join").get<std::uint64_t>()};
+            // Once only, since two members may each take the other for the leader.
+            if (!joining.contains("passed_on")) {
+                self->pass_on_join(id);
+            }
+            self->take_join(id);
             reply({.known = true, .payload = {}});
             return;
         }
--- a/tests/deployment_fixture.hpp
+++ b/tests/deployment_fixture.hpp
@@ -184,8 +184,16 @@
         }
     }
 
-    void start_control(std::size_t index, bool first_start) {
+    /// @param contacts  control instances that its settings name; empty: all
+    void start_control(std::size_t index, bool first_start,
+                       const std::vector<std::size_t>& contacts = {}) {
         auto own = common(control_address(index), first_start);
+        if (!contacts.empty()) {
+            own.deployment.founders.clear();
+            for (const auto contact : contacts) {
+                own.deployment.founders.push_back(control_address(contact));
+            }
+        }
         own.role = settings::instance_role::control;
         own.http = {.address = control_address(index), .port = control_port_};
         own.data_folder = (folder_ / std::to_string(index)).string();
--- a/tests/unit-deployment.cpp
+++ b/tests/unit-deployment.cpp
@@ -370,6 +370,23 @@
     EXPECT_TRUE(wait_until([&] { return d.publish(make_manifest(4), 0).status == 200; }));
 }
 
+// The settings of a replaced instance may name only members that don't lead, such as where the
+// leader was added later. It then asked them for ever, and the next loss left no majority.
+TEST(Deployment, AControlInstanceJoinsThroughMembersThatDoNotLead) {
+    platform_deployment d(3, 1);
+    const auto server = make_sound("i-1");
+    d.add_server(server, "s");
+    d.serve(make_manifest(1));
+    ASSERT_TRUE(wait_until([&] { return d.publish(make_manifest(2), 1).status == 200; }));
+    // At most one of the two leads.
+    for (const std::size_t contact : {1UL, 2UL}) {
+        d.wipe_control(0);
+        d.start_control(0, false, {contact});
+        EXPECT_TRUE(wait_until([&] { return d.read_back(0).status == 200; }))
+            << "through instance " << contact;
+    }
+}
+
 TEST(Deployment, RequestsAreServedWhileNoControlInstanceRuns) {
     platform_deployment d(1, 1);
     const auto server = make_sound("i-1");
