Split: one request's relay, and the two longest tests

As more test programs now run at once, each has loopback addresses of its own: all instances of a deployment use one port, which another program could have taken.

--- a/include/tarragonspar/gateway/control_instance.hpp
+++ b/include/tarragonspar/gateway/control_instance.hpp
@@ -9,6 +9,7 @@
 
 #include "tarragonspar/gateway/desk_service.hpp"
 #include "tarragonspar/gateway/dialect.hpp"
+#include "tarragonspar/gateway/question_handler.hpp"
 #include "tarragonspar/gateway/reports.hpp"
 #include "tarragonspar/gateway/server_directory.hpp"
 #include "tarragonspar/http/server.hpp"
@@ -20,7 +21,7 @@
 namespace tarragonspar::gateway {
 
 /// @brief An instance that keeps published documents, and grants requests while it leads.
-class control_instance final : private wire::handler {
+class control_instance final : private question_handler {
 public:
     control_instance(settings::instance_settings settings, std::unique_ptr<const dialect> speaks);
     ~control_instance() override;
@@ -36,12 +37,6 @@
     void reload(const settings::instance_settings& fresh);
 
 private:
-    void on_enqueue(instance_id from, work_item work, dispatch::call_body call,
-                    std::shared_ptr<wire::remote_request> request) override;
-    void on_withdraw(instance_id from, const request_id& id) override;
-    void on_gossip(instance_id from, wire::gossip_message message,
-                   std::function<void(wire::gossip_message)> reply) override;
-    void on_probe(instance_id target, std::function<void(bool)> reply) override;
     void on_consensus(instance_id from, std::string messages) override;
     void on_question(instance_id from, wire::topic about, std::string payload,
                      std::function<void(wire::answer)> reply) override;
--- a/include/tarragonspar/gateway/entry_instance.hpp
+++ b/include/tarragonspar/gateway/entry_instance.hpp
@@ -12,6 +12,7 @@
 #include "tarragonspar/admission/retry_allowance.hpp"
 #include "tarragonspar/gateway/control_link.hpp"
 #include "tarragonspar/gateway/dialect.hpp"
+#include "tarragonspar/gateway/question_handler.hpp"
 #include "tarragonspar/gateway/relayed_request.hpp"
 #include "tarragonspar/gateway/server_directory.hpp"
 #include "tarragonspar/http/server.hpp"
@@ -22,7 +23,7 @@
 namespace tarragonspar::gateway {
 
 /// @brief An instance that takes callers' requests and sends each to a backend server itself.
-class entry_instance final : private wire::handler {
+class entry_instance final : private question_handler {
 public:
     entry_instance(settings::instance_settings settings, std::unique_ptr<const dialect> speaks);
     ~entry_instance() override;
@@ -42,13 +43,6 @@
 private:
     using request_ptr = std::shared_ptr<relayed_request>;
 
-    void on_enqueue(instance_id from, work_item work, dispatch::call_body call,
-                    std::shared_ptr<wire::remote_request> request) override;
-    void on_withdraw(instance_id from, const request_id& id) override;
-    void on_gossip(instance_id from, wire::gossip_message message,
-                   std::function<void(wire::gossip_message)> reply) override;
-    void on_probe(instance_id target, std::function<void(bool)> reply) override;
-    void on_consensus(instance_id from, std::string messages) override;
     void on_question(instance_id from, wire::topic about, std::string payload,
                      std::function<void(wire::answer)> reply) override;
 
--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -303,24 +303,6 @@
     control_->on_messages(messages);
 }
 
-void control_instance::on_probe(instance_id, std::function<void(bool)> reply) {
-    reply(true);
-}
-
-// Instances of this kind forward no requests and don't gossip.
-
-void control_instance::on_enqueue(instance_id, work_item, dispatch::call_body,
-                                  std::shared_ptr<wire::remote_request> request) {
-    request->conclude(dispatch::refuse{.why = reason::no_server});
-}
-
-void control_instance::on_withdraw(instance_id, const request_id&) {}
-
-void control_instance::on_gossip(instance_id, wire::gossip_message message,
-                                 std::function<void(wire::gossip_message)> reply) {
-    reply(std::move(message));
-}
-
 // --- operators ---
 
 asio::awaitable<void> control_instance::handle(http::exchange& with) {
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -227,26 +227,6 @@
     co_await with.respond(std::move(out));
 }
 
-// Instances of this kind take requests from callers only, and don't gossip.
-
-void entry_instance::on_enqueue(instance_id, work_item, dispatch::call_body,
-                                std::shared_ptr<wire::remote_request> request) {
-    request->conclude(dispatch::refuse{.why = reason::no_server});
-}
-
-void entry_instance::on_withdraw(instance_id, const request_id&) {}
-
-void entry_instance::on_gossip(instance_id, wire::gossip_message message,
-                               std::function<void(wire::gossip_message)> reply) {
-    reply(std::move(message));
-}
-
-void entry_instance::on_probe(instance_id, std::function<void(bool)> reply) {
-    reply(true);
-}
-
-void entry_instance::on_consensus(instance_id, std::string) {}
-
 void entry_instance::on_question(instance_id from, wire::topic about, std::string payload,
                                  std::function<void(wire::answer)> reply) {
     if (about != wire::topic::entry_report) {
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -1,12 +1,9 @@
 // One caller's request, from its arrival to its end.
 
 #include <algorithm>
-#include <cmath>
-
-#include <boost/asio/post.hpp>
 
+#include "tarragonspar/gateway/detail/replies.hpp"
 #include "tarragonspar/gateway/entry_instance.hpp"
-#include "tarragonspar/http/completion_api.hpp"
 #include "tarragonspar/http/detail/serve.hpp"
 #include "tarragonspar/runtime/clock.hpp"
 #include "tarragonspar/telemetry/log.hpp"
@@ -15,153 +12,23 @@
 
 namespace asio = boost::asio;
 using runtime::now;
+using namespace detail;
 
 namespace {
 
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_unauthorized = 401;
-constexpr unsigned status_not_found = 404;
-constexpr unsigned status_misdirected = 421;
-constexpr unsigned status_too_many = 429;
-constexpr unsigned status_server_error = 500;
-constexpr unsigned status_bad_gateway = 502;
-constexpr unsigned status_unavailable = 503;
-constexpr unsigned status_gateway_timeout = 504;
-
 /// Servers out of reach after which a request is given up.
 constexpr std::uint32_t max_unreachable = 6;
-/// Largest answer that is held until it is whole; what is longer is passed on as it comes.
-constexpr std::size_t max_held_answer = 1024 * 1024;
-/// Largest answer that is no event stream: many times what services answer, so that what is larger
-/// has no end.
-constexpr std::size_t max_answer = 64 * 1024 * 1024;
-/// Largest single event: some thousand tokens are some tens of kilobytes.
-constexpr std::size_t max_event = 1024 * 1024;
 /// Part of a caller's patience after which a quiet stream is continued at another server: what is
 /// left of it is enough for that one's first event.
 constexpr int quiet_parts = 2;
 /// Time that must be left for another attempt to make sense.
 constexpr duration min_attempt_time = std::chrono::milliseconds{50};
-/// When to come back after a refusal that has no better estimate: a few service times.
-constexpr duration default_retry_after = std::chrono::milliseconds{500};
-/// Largest part by which the time to come back is spread, so that refused callers do not return
-/// together.
-constexpr double retry_spread = 0.5;
-
-http::reply make_refusal(unsigned status, const std::string& why, duration retry_after,
-                         std::mt19937_64& random) {
-    auto out = http::format_error(status, why);
-    if (status == status_too_many || status == status_unavailable) {
-        std::uniform_real_distribution<double> spread(1.0, 1.0 + retry_spread);
-        const auto pause = retry_after > duration{} ? retry_after : default_retry_after;
-        const auto millis = std::ceil(to_seconds(pause) * spread(random) * 1e3);
-        std::string text = std::to_string(millis / 1e3);
-        text.resize(text.find('.') + 4);
-        out.headers.emplace_back("Retry-After", std::move(text));
-    }
-    return out;
-}
-
 bool is_event_stream(const http::answer_head& head) {
     return head.status == status_ok && head.header("Content-Type").starts_with("text/event-stream");
 }
 
-/// Blocks of a prompt that are told to the scheduler. Remembering prompts of thousands of tokens
-/// block by block took a fifth of its time; two thousand tokens tell where a session was before.
-constexpr std::size_t max_told_blocks = 32;
-
-/// Blocks that stand for a prompt's parts: equal beginnings of prompts have equal blocks.
-std::vector<block_hash> blocks_of(const std::vector<prompt_part>& parts) {
-    std::vector<block_hash> blocks;
-    std::uint64_t chain = 0;
-    for (const auto& part : parts) {
-        chain = hash_pair(chain, part.key);
-        for (std::uint32_t token = block_tokens; token <= part.tokens.value;
-             token += block_tokens) {
-            if (blocks.size() == max_told_blocks) {
-                return blocks;
-            }
-            blocks.push_back({hash_pair(chain, token)});
-        }
-    }
-    return blocks;
-}
-
 } // namespace
 
-entry_instance::request_ptr entry_instance::admit(const http::request_message& message,
-                                                  time_point arrival, http::reply& refused) {
-    auto caller = speaks_->read_request(message);
-    if (!caller.fault.empty()) {
-        refused = http::format_error(400, caller.fault);
-        return nullptr;
-    }
-    if (!catalogue_) {
-        refused = make_refusal(status_unavailable, "no catalogue is known yet",
-                               std::chrono::seconds{1}, random_);
-        return nullptr;
-    }
-    const auto view = message.target();
-    std::string target(view.data(), view.size());
-    const auto* route = catalogue_->find_route(caller.host, target);
-    if (route == nullptr) {
-        refused = http::format_error(status_not_found, "no route for this host and path");
-        return nullptr;
-    }
-    const config::workspace* workspace = nullptr;
-    const auto guarded = !catalogue_->value().workspaces.empty() && !route->anonymous_allowed;
-    if (!caller.workspace_key.empty()) {
-        workspace = catalogue_->find_workspace(caller.workspace_key);
-    }
-    if (guarded && workspace == nullptr) {
-        refused = http::format_error(status_unauthorized, "the key is not known");
-        return nullptr;
-    }
-    auto request = std::make_shared<relayed_request>(context_.get_executor(), std::move(caller));
-    request->catalogue = catalogue_;
-    request->route = route;
-    request->service = config::choose_service(*route, random_());
-    request->method = std::string(message.method_string());
-    request->target = std::move(target);
-    request->body = message.body();
-    auto& work = request->work;
-    work.urgency = route->urgency;
-    work.rank = {std::min<std::uint8_t>(route->urgency.value, rank_count - 1)};
-    if (workspace != nullptr) {
-        request->workspace = workspace->name;
-        work.workspace = {hash_name(workspace->name)};
-        work.urgency = workspace->urgency.value_or(work.urgency);
-        const auto tokens = request->caller.prompt.value + request->caller.max_output.value;
-        const auto& quota = workspace->quota;
-        work.quota_units = !quota.counts_tokens ? 1 : tokens > 0 ? tokens : quota.plain_tokens;
-    }
-    work.arrival = arrival;
-    fill_work(*request);
-    return request;
-}
-
-void entry_instance::fill_work(relayed_request& request) {
-    auto& work = request.work;
-    work.id = {.issuer = settings_.id, .issued_in = started_as_, .sequence = ++next_sequence_};
-    work.urgency = {std::min<std::uint8_t>(work.urgency.value, tier_count - 1)};
-    work.model = {hash_name(request.service)};
-    work.profile = hash_name(request.route->name);
-    const duration allowed = request.route->timeout;
-    const duration asked = request.caller.time_left.value_or(request.route->timeout);
-    work.deadline = work.arrival + std::min(allowed, asked);
-    if (request.route->latency_objective.count() > 0) {
-        work.objective = work.arrival + request.route->latency_objective;
-    }
-    work.prompt = request.caller.prompt;
-    work.max_output = request.caller.max_output;
-    work.expected_output = request.caller.expected_output;
-    work.blocks = blocks_of(request.caller.parts);
-    work.idempotent = config::is_idempotent(*request.route);
-    if (const auto* service = request.catalogue->find_service(request.service)) {
-        request.tokens_per_event = std::max(1U, service->tokens_per_event);
-    }
-}
-
 void entry_instance::watch(const request_ptr& request, http::exchange& with) {
     with.when_gone([request] {
         request->gone = true;
@@ -395,141 +262,6 @@
     co_return co_await pass_answer(request, with, std::move(*head));
 }
 
-asio::awaitable<attempt_end> entry_instance::pass_answer(request_ptr request, http::exchange& with,
-                                                         http::answer_head head) {
-    if (request->begun) {
-        co_return attempt_end::failed; // a stream can't go on with something else
-    }
-    std::string body;
-    bool whole = false;
-    while (!whole) {
-        auto part = co_await request->call->read_body();
-        if (request->is_over()) {
-            co_return attempt_end::stopped;
-        }
-        if (part.broken) {
-            if (request->begun) {
-                with.abort();
-                co_return attempt_end::stopped;
-            }
-            co_return attempt_end::failed;
-        }
-        whole = part.whole;
-        body += part.bytes;
-        if (request->bytes_out + body.size() > max_answer) {
-            if (request->begun) {
-                with.abort();
-                co_return attempt_end::stopped;
-            }
-            co_return attempt_end::failed;
-        }
-        if (body.size() > max_held_answer || request->begun) {
-            if (!request->begun) {
-                request->begun = true;
-                request->status = head.status;
-                co_await with.begin_stream(head.status, {}, head.headers);
-            }
-            request->bytes_out += body.size();
-            auto piece = std::exchange(body, {});
-            co_await with.write(std::move(piece));
-        }
-    }
-    if (request->begun) {
-        co_await with.end_stream();
-        co_return attempt_end::done;
-    }
-    const auto repeatable = head.status >= status_server_error && request->work.idempotent;
-    if (repeatable && may_try_again(*request, attempt_end::failed)) {
-        request->again = true;
-        co_return attempt_end::failed;
-    }
-    request->status = head.status;
-    request->bytes_out = body.size();
-    http::reply out;
-    out.status = head.status;
-    out.content_type.clear();
-    out.headers = std::move(head.headers);
-    out.body = std::move(body);
-    co_await with.respond(std::move(out));
-    co_return attempt_end::done;
-}
-
-asio::awaitable<attempt_end> entry_instance::pass_events(request_ptr request, http::exchange& with,
-                                                         http::answer_head head) {
-    http::event_splitter splitter;
-    while (true) {
-        const auto part = co_await request->call->read_body();
-        if (request->is_over()) {
-            co_return attempt_end::stopped;
-        }
-        const auto events = splitter.take(part.bytes);
-        if (!events.empty()) {
-            const bool wanted = co_await forward_events(request, with, head, events);
-            if (!wanted) {
-                request->gone = true;
-                co_return attempt_end::stopped;
-            }
-        }
-        const auto is_no_event = splitter.unfinished() > max_event;
-        if (part.broken || is_no_event || (part.whole && splitter.unfinished() > 0)) {
-            co_return attempt_end::failed; // an event that was cut is dropped
-        }
-        if (part.whole) {
-            break;
-        }
-    }
-    if (!request->begun) {
-        request->begun = true;
-        request->status = head.status;
-        co_await with.begin_stream(head.status, {}, std::move(head.headers));
-    }
-    co_await with.end_stream();
-    co_return attempt_end::done;
-}
-
-asio::awaitable<bool>
-entry_instance::forward_events(request_ptr request, http::exchange& with,
-                               const http::answer_head& head,
-                               const std::vector<http::stream_event>& events) {
-    if (request->first_event == time_point{}) {
-        request->first_event = now();
-        const dispatch::grant_news news{.id = request->work.id,
-                                        .kind = dispatch::grant_news::what::first_token};
-        link_->note(news);
-    }
-    std::string bytes;
-    for (const auto& event : events) {
-        if (event.has_data) {
-            const auto moment = now();
-            if (request->events > 0) {
-                request->longest_pause =
-                    std::max(request->longest_pause, moment - request->progressed);
-            }
-            request->progressed = moment;
-        }
-        const auto seen = event.id && request->last_event && *event.id <= *request->last_event;
-        if (seen) {
-            continue;
-        }
-        if (event.id) {
-            request->last_event = event.id;
-        }
-        ++request->events;
-        bytes += event.bytes;
-    }
-    if (!request->begun) {
-        request->begun = true;
-        request->status = head.status;
-        auto headers = head.headers;
-        const bool alive = co_await with.begin_stream(head.status, {}, std::move(headers));
-        if (!alive) {
-            co_return false;
-        }
-    }
-    request->bytes_out += bytes.size();
-    co_return co_await with.write(std::move(bytes));
-}
-
 bool entry_instance::may_try_again(relayed_request& request, attempt_end last) {
     if (request.is_over() || last == attempt_end::done || last == attempt_end::stopped) {
         return false;
--- /dev/null
+++ b/src/gateway/relay_admission.cpp
@@ -0,0 +1,111 @@
+// What a caller's request becomes before it is relayed: a route, a workspace and a work item.
+
+#include <algorithm>
+
+#include "tarragonspar/gateway/detail/replies.hpp"
+#include "tarragonspar/gateway/entry_instance.hpp"
+#include "tarragonspar/http/completion_api.hpp"
+
+namespace tarragonspar::gateway {
+
+using namespace detail;
+
+namespace {
+
+/// Blocks of a prompt that are told to the scheduler. Remembering prompts of thousands of tokens
+/// block by block took a fifth of its time; two thousand tokens tell where a session was before.
+constexpr std::size_t max_told_blocks = 32;
+
+/// Blocks that stand for a prompt's parts: equal beginnings of prompts have equal blocks.
+std::vector<block_hash> blocks_of(const std::vector<prompt_part>& parts) {
+    std::vector<block_hash> blocks;
+    std::uint64_t chain = 0;
+    for (const auto& part : parts) {
+        chain = hash_pair(chain, part.key);
+        for (std::uint32_t token = block_tokens; token <= part.tokens.value;
+             token += block_tokens) {
+            if (blocks.size() == max_told_blocks) {
+                return blocks;
+            }
+            blocks.push_back({hash_pair(chain, token)});
+        }
+    }
+    return blocks;
+}
+
+} // namespace
+
+entry_instance::request_ptr entry_instance::admit(const http::request_message& message,
+                                                  time_point arrival, http::reply& refused) {
+    auto caller = speaks_->read_request(message);
+    if (!caller.fault.empty()) {
+        refused = http::format_error(400, caller.fault);
+        return nullptr;
+    }
+    if (!catalogue_) {
+        refused = make_refusal(status_unavailable, "no catalogue is known yet",
+                               std::chrono::seconds{1}, random_);
+        return nullptr;
+    }
+    const auto view = message.target();
+    std::string target(view.data(), view.size());
+    const auto* route = catalogue_->find_route(caller.host, target);
+    if (route == nullptr) {
+        refused = http::format_error(status_not_found, "no route for this host and path");
+        return nullptr;
+    }
+    const config::workspace* workspace = nullptr;
+    const auto guarded = !catalogue_->value().workspaces.empty() && !route->anonymous_allowed;
+    if (!caller.workspace_key.empty()) {
+        workspace = catalogue_->find_workspace(caller.workspace_key);
+    }
+    if (guarded && workspace == nullptr) {
+        refused = http::format_error(status_unauthorized, "the key is not known");
+        return nullptr;
+    }
+    auto request = std::make_shared<relayed_request>(context_.get_executor(), std::move(caller));
+    request->catalogue = catalogue_;
+    request->route = route;
+    request->service = config::choose_service(*route, random_());
+    request->method = std::string(message.method_string());
+    request->target = std::move(target);
+    request->body = message.body();
+    auto& work = request->work;
+    work.urgency = route->urgency;
+    work.rank = {std::min<std::uint8_t>(route->urgency.value, rank_count - 1)};
+    if (workspace != nullptr) {
+        request->workspace = workspace->name;
+        work.workspace = {hash_name(workspace->name)};
+        work.urgency = workspace->urgency.value_or(work.urgency);
+        const auto tokens = request->caller.prompt.value + request->caller.max_output.value;
+        const auto& quota = workspace->quota;
+        work.quota_units = !quota.counts_tokens ? 1 : tokens > 0 ? tokens : quota.plain_tokens;
+    }
+    work.arrival = arrival;
+    fill_work(*request);
+    return request;
+}
+
+void entry_instance::fill_work(relayed_request& request) {
+    auto& work = request.work;
+    work.id = {.issuer = settings_.id, .issued_in = started_as_, .sequence = ++next_sequence_};
+    work.urgency = {std::min<std::uint8_t>(work.urgency.value, tier_count - 1)};
+    work.model = {hash_name(request.service)};
+    work.profile = hash_name(request.route->name);
+    const duration allowed = request.route->timeout;
+    const duration asked = request.caller.time_left.value_or(request.route->timeout);
+    work.deadline = work.arrival + std::min(allowed, asked);
+    if (request.route->latency_objective.count() > 0) {
+        work.objective = work.arrival + request.route->latency_objective;
+    }
+    work.prompt = request.caller.prompt;
+    work.max_output = request.caller.max_output;
+    work.expected_output = request.caller.expected_output;
+    work.blocks = blocks_of(request.caller.parts);
+    work.idempotent = config::is_idempotent(*request.route);
+    if (const auto* service = request.catalogue->find_service(request.service)) {
+        request.tokens_per_event = std::max(1U, service->tokens_per_event);
+    }
+}
+
+} // namespace tarragonspar::gateway
--- /dev/null
+++ b/src/gateway/replies.cpp
@@ -0,0 +1,33 @@
+#include "tarragonspar/gateway/detail/replies.hpp"
+
+#include <cmath>
+
+#include "tarragonspar/http/completion_api.hpp"
+
+namespace tarragonspar::gateway::detail {
+
+namespace {
+
+/// When to come back after a refusal that has no better estimate: a few service times.
+constexpr duration default_retry_after = std::chrono::milliseconds{500};
+/// Largest part by which the time to come back is spread, so that refused callers do not return
+/// together.
+constexpr double retry_spread = 0.5;
+
+} // namespace
+
+http::reply make_refusal(unsigned status, const std::string& why, duration retry_after,
+                         std::mt19937_64& random) {
+    auto out = http::format_error(status, why);
+    if (status == status_too_many || status == status_unavailable) {
+        std::uniform_real_distribution<double> spread(1.0, 1.0 + retry_spread);
+        const auto pause = retry_after > duration{} ? retry_after : default_retry_after;
+        const auto millis = std::ceil(to_seconds(pause) * spread(random) * 1e3);
+        std::string text = std::to_string(millis / 1e3);
+        text.resize(text.find('.') + 4);
+        out.headers.emplace_back("Retry-After", std::move(text));
+    }
+    return out;
+}
+
+} // namespace tarragonspar::gateway::detail
--- a/tests/deployment_fixture.hpp
+++ b/tests/deployment_fixture.hpp
@@ -131,7 +131,8 @@
     return "id: " + std::to_string(id) + "\ndata: piece " + std::to_string(id) + "\n\n";
 }
 
-/// @brief Control instances on 127.0.1.x, entry instances on 127.0.2.x.
+/// @brief Control instances on 127.N.1.x, entry instances on 127.N.2.x, with another N for each
+/// test program, since several run at once and all of a deployment use one port.
 class platform_deployment {
 public:
     explicit platform_deployment(int controls = 1, int entries = 1)
@@ -268,6 +269,7 @@
         std::map<std::string, std::string> headers;
         bool whole{false};
     };
+
     [[nodiscard]] answer call_fully(const std::string& method, const std::string& target,
                                     const std::string& body,
                                     std::map<std::string, std::string> headers = {}) const {
@@ -279,11 +281,14 @@
     }
 
 private:
+    [[nodiscard]] static std::string network() {
+        return "127." + std::to_string(64 + ::getpid() % 128) + ".";
+    }
     static std::string control_address(std::size_t index) {
-        return "127.0.1." + std::to_string(index + 1);
+        return network() + "1." + std::to_string(index + 1);
     }
     static std::string entry_address(std::size_t index) {
-        return "127.0.2." + std::to_string(index + 1);
+        return network() + "2." + std::to_string(index + 1);
     }
 
     [[nodiscard]] settings::instance_settings common(const std::string& address,
--- /dev/null
+++ b/tests/deployment_parts.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+// Servers and a control instance of tests, beside what the fixture has.
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "deployment_fixture.hpp"
+#include "tarragonspar/gateway/question_handler.hpp"
+
+namespace tarragonspar::testing {
+
+inline void reset(asio::ip::tcp::socket& socket) {
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
+inline scripted_server make_sound(const std::string& name) {
+    return scripted_server(name, [](const seen_request& request, asio::ip::tcp::socket& socket) {
+        write_raw(socket, whole_answer(request, "body of " + request.start));
+    });
+}
+
+/// In place of a control instance: tells every entry instance the same document and one server.
+class teller : public gateway::question_handler {
+public:
+    explicit teller(const scripted_server& server) {
+        config::server one{.id = grant_of(server).server,
+                           .name = server.name(),
+                           .address = server.address(),
+                           .offers = {"s"},
+                           .slots = 4};
+        one.kind = config::server_kind::service;
+        list_ = gateway::make_server_list({one}, runtime::now());
+    }
+    ~teller() override {
+        if (node_) {
+            node_->stop();
+        }
+    }
+    void start(const settings::endpoint& at) {
+        node_ = std::make_unique<wire::node>(
+            wire::node_options{.self = *settings::parse_instance_address(at.address), .listen = at},
+            *this);
+        ASSERT_EQ(node_->start(), "");
+    }
+    void tell(std::uint64_t number, std::string content) {
+        const std::lock_guard lock(mutex_);
+        document_ = {.number = {number}, .content = std::move(content)};
+    }
+    int times_told() {
+        const std::lock_guard lock(mutex_);
+        return times_told_;
+    }
+    /// Leads: grants the first server, and the second one to those who return a grant unused.
+    void grant_first(const scripted_server& first, const scripted_server& second) {
+        granted_ = {grant_of(first), grant_of(second)};
+    }
+    int times_returned() {
+        const std::lock_guard lock(mutex_);
+        return times_returned_;
+    }
+
+    void on_question(instance_id, wire::topic about, std::string payload,
+                     std::function<void(wire::answer)> reply) override {
+        if (about == wire::topic::grant) {
+            const auto question = gateway::unpack_question(payload, runtime::now());
+            const std::lock_guard lock(mutex_);
+            const auto unused = question->earlier == dispatch::earlier_grant::unused;
+            times_returned_ += unused && question->notice ? 1 : 0;
+            reply({.known = true,
+                   .payload = gateway::pack(dispatch::verdict{granted_[unused ? 1 : 0]})});
+            return;
+        }
+        if (about != wire::topic::entry_report) {
+            return;
+        }
+        const auto report = gateway::unpack_report(payload, runtime::now());
+        const std::lock_guard lock(mutex_);
+        if (!report || document_.number.value == 0) {
+            reply({});
+            return;
+        }
+        gateway::control_news news;
+        news.entry_instances = 1;
+        news.schedules = !granted_.empty();
+        news.document = document_;
+        gateway::tell_servers(list_, *report, runtime::now(), news);
+        ++times_told_;
+        reply({.known = true, .payload = gateway::pack(news)});
+    }
+
+private:
+    static dispatch::grant grant_of(const scripted_server& server) {
+        return {.server = {static_cast<std::uint32_t>(hash_name(server.name()) & 0xffffffffU)},
+                .server_name = server.name(),
+                .address = server.address()};
+    }
+
+    std::vector<dispatch::grant> granted_;
+    int times_returned_{0};
+    gateway::server_list list_;
+    std::unique_ptr<wire::node> node_;
+    std::mutex mutex_;
+    config::document document_;
+    int times_told_{0};
+};
+
+inline std::string answer_with(const seen_request& to, const std::string& status,
+                        const std::string& headers, const std::string& body) {
+    return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + to.headers.at("Attempt-Id") + "\r\n" +
+           headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace tarragonspar::testing
--- /dev/null
+++ b/tests/unit-deployment_control.cpp
@@ -0,0 +1,190 @@
+#include <future>
+
+#include <gtest/gtest.h>
+
+#include "deployment_parts.hpp"
+
+// Documents, control groups and their loss in a deployment of the platform.
+
+namespace {
+
+using namespace tarragonspar;
+using namespace tarragonspar::testing;
+
+} // namespace
+
+TEST(Deployment, TheHighestManifestIsInForceAndReadBack) {
+    platform_deployment d(3, 2);
+    const auto server = make_sound("i-1");
+    d.add_server(server, "s");
+    d.serve(make_manifest(5));
+    EXPECT_EQ(d.publish("{\"version\":9,\"routes\":[").status, 400U);
+    EXPECT_EQ(d.publish(make_manifest(0)).status, 400U);
+    EXPECT_EQ(d.publish(make_manifest(4), 1).status, 200U) << "an older one changes nothing";
+    EXPECT_EQ(d.publish(make_manifest(5), 2).status, 200U) << "a resend is acknowledged";
+    ASSERT_TRUE(wait_until([&] { return d.publish(make_manifest(7), 1).status == 200; }));
+    for (std::size_t control = 0; control < 3; ++control) {
+        ASSERT_TRUE(wait_until([&] { return d.read_back(control).status == 200; }));
+        EXPECT_EQ(d.read_back(control).body, make_manifest(7)) << control;
+    }
+    // A majority is left: what was acknowledged stays. Without one, nothing is proved.
+    d.stop_control(0);
+    ASSERT_TRUE(wait_until([&] { return d.read_back(1).status == 200; }));
+    EXPECT_EQ(d.read_back(1).body, make_manifest(7));
+    d.stop_control(2);
+    ASSERT_TRUE(wait_until([&] { return d.read_back(1).status == 503; }));
+    EXPECT_NE(d.publish(make_manifest(8), 1).status, 200U);
+}
+
+// Control instances don't tell what is older than the reported number; an entry instance relies on
+// itself all the same, since who tells it may be wrong about it.
+TEST(Deployment, AnEntryInstanceNeverStepsBack) {
+    const auto server = make_sound("i-1");
+    teller control(server);
+    platform_deployment d;
+    control.start(d.control_wire());
+    d.start_entry(0);
+    control.tell(7, make_manifest(7));
+    ASSERT_TRUE(wait_until([&] { return d.ready().status == 200; }));
+    EXPECT_EQ(d.call("GET", "/safe/x", "", {}).status, 200U);
+    auto older = nlohmann::json::parse(make_manifest(5));
+    older["routes"] = nlohmann::json::array({older["routes"][1]});
+    control.tell(5, older.dump());
+    const auto told = control.times_told();
+    ASSERT_TRUE(wait_until([&] { return control.times_told() > told + 3; }));
+    EXPECT_EQ(d.call("GET", "/safe/x", "", {}).status, 200U) << "gone in the older one";
+    control.tell(8, older.dump());
+    ASSERT_TRUE(wait_until([&] { return d.call("GET", "/safe/x", "", {}).status == 404; }));
+}
+
+TEST(Deployment, AWipedControlInstanceJoinsAgainWithoutItsOldVote) {
+    platform_deployment d(3, 1);
+    const auto server = make_sound("i-1");
+    d.add_server(server, "s");
+    d.serve(make_manifest(1));
+    ASSERT_TRUE(wait_until([&] { return d.publish(make_manifest(2), 1).status == 200; }));
+    d.wipe_control(0);
+    d.start_control(0, false);
+    ASSERT_TRUE(wait_until([&] { return d.read_back(0).status == 200; }));
+    EXPECT_EQ(d.read_back(0).body, make_manifest(2));
+    // The new member counts: another may be lost now.
+    ASSERT_TRUE(wait_until([&] { return d.publish(make_manifest(3), 0).status == 200; }));
+    std::this_thread::sleep_for(std::chrono::seconds{3});
+    d.stop_control(1);
+    EXPECT_TRUE(wait_until([&] { return d.publish(make_manifest(4), 0).status == 200; }));
+}
+
+// The settings of a replaced instance may name only members that don't lead, such as where the
+// leader was added later. It then asked them for ever, and the next loss left no majority.
+TEST(Deployment, AControlInstanceJoinsThroughMembersThatDoNotLead) {
+    platform_deployment d(3, 1);
+    const auto server = make_sound("i-1");
+    d.add_server(server, "s");
+    d.serve(make_manifest(1));
+    ASSERT_TRUE(wait_until([&] { return d.publish(make_manifest(2), 1).status == 200; }));
+    // At most one of the two leads.
+    for (const std::size_t contact : {1UL, 2UL}) {
+        d.wipe_control(0);
+        d.start_control(0, false, {contact});
+        EXPECT_TRUE(wait_until([&] { return d.read_back(0).status == 200; }))
+            << "through instance " << contact;
+    }
+}
+
+TEST(Deployment, RequestsAreServedWhileNoControlInstanceRuns) {
+    platform_deployment d(1, 1);
+    const auto server = make_sound("i-1");
+    d.add_server(server, "s");
+    d.serve(make_manifest(1));
+    d.stop_control(0);
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_EQ(d.call("GET", "/safe/x", "", {}).status, 200U);
+    }
+}
+
+// A restarted instance knows only the founders, and none of them is there to ask.
+TEST(Deployment, AnEntryInstanceRestartedWithoutAControlGroupLearnsFromOthers) {
+    platform_deployment d(1, 3);
+    const auto server = make_sound("i-1");
+    d.add_server(server, "s");
+    d.serve(make_manifest(1));
+    for (const std::size_t entry : {1U, 2U}) {
+        ASSERT_TRUE(wait_until([&] { return d.ready(entry).status == 200; }));
+    }
+    // Time for a few answers of the control group, each of which names some of the others.
+    std::this_thread::sleep_for(std::chrono::seconds{1});
+    d.stop_control(0);
+    d.stop_entry(0);
+    d.start_entry(0);
+    ASSERT_TRUE(wait_until([&] { return d.ready(0).status == 200; }));
+    EXPECT_EQ(d.call("GET", "/safe/x", "", {}).status, 200U);
+}
+
+// Right after a start the instance knows nothing yet. Refused, callers came back a second later,
+// and after a loss of power that was most of them.
+TEST(Deployment, WhatComesRightAfterAStartIsServedAndNotRefused) {
+    platform_deployment d(1, 1);
+    const auto server = make_sound("i-1");
+    d.add_server(server, "s");
+    d.serve(make_manifest(1));
+    d.stop_entry(0);
+    d.start_entry(0);
+    EXPECT_EQ(d.call("POST", "/unsafe/x", "b", {}).status, 200U);
+    EXPECT_EQ(d.call("GET", "/nowhere/x", "", {}).status, 404U);
+}
+
+// An instance that is only silent keeps what it runs: nothing is started again elsewhere.
+TEST(Deployment, ASilentControlGroupLeavesRunningWorkAlone) {
+    std::atomic<bool> go_on{false};
+    const scripted_server slow("i-1",
+                               [&](const seen_request& request, asio::ip::tcp::socket& socket) {
+                                   while (!go_on) {
+                                       std::this_thread::sleep_for(std::chrono::milliseconds{10});
+                                   }
+                                   write_raw(socket, whole_answer(request, "done"));
+                               });
+    platform_deployment d;
+    d.add_server(slow, "s");
+    d.serve(make_manifest(1));
+    platform_deployment::answer answer;
+    std::thread caller([&] { answer = d.call_fully("POST", "/unsafe/x", "b"); });
+    ASSERT_TRUE(wait_until([&] { return slow.seen().size() == 1; }));
+    d.stop_control(0);
+    std::this_thread::sleep_for(std::chrono::milliseconds{1'000});
+    go_on = true;
+    caller.join();
+    EXPECT_EQ(answer.body, "done");
+    EXPECT_EQ(slow.seen().size(), 1U);
+}
+
+// A new leader that had heard one of several entry instances told that one that it was alone: it
+// took all quotas and all slots for its own.
+TEST(Deployment, ANewLeaderTellsTheNumberOfEntryInstancesThatTheyKnew) {
+    gateway::entry_report report;
+    report.open = {.holder = {77}, .started_as = {5}};
+    report.entry_instances = 7;
+    const auto server = make_sound("i-1");
+    platform_deployment d;
+    d.add_server(server, "s");
+    d.start_control(0, true);
+    teller handles(server);
+    wire::node asker({.self = {77},
+                      .listen = {.address = "127.0.0.1", .port = free_port()},
+                      .locate = [&](instance_id) { return std::optional{d.control_wire()}; }},
+                     handles);
+    ASSERT_EQ(asker.start(), "");
+    std::uint32_t told = 0;
+    ASSERT_TRUE(wait_until([&] {
+        std::promise<std::optional<wire::answer>> answered;
+        asker.ask(*settings::parse_instance_address(d.control_wire().address),
+                  wire::topic::entry_report, gateway::pack(report, runtime::now()),
+                  [&](std::optional<wire::answer> answer) { answered.set_value(answer); });
+        const auto answer = answered.get_future().get();
+        const auto news =
+            answer && answer->known ? gateway::unpack_news(answer->payload) : std::nullopt;
+        told = news ? news->entry_instances : 0;
+        return news && news->schedules;
+    }));
+    EXPECT_EQ(told, 7U);
+    asker.stop();
+}
--- /dev/null
+++ b/tests/unit-grant_desk_quota.cpp
@@ -0,0 +1,106 @@
+#include <gtest/gtest.h>
+
+#include "grant_desk_fixture.hpp"
+
+// Quotas at the desk, and when the counting goes on at another one.
+
+namespace {
+
+using namespace tarragonspar;
+using namespace tarragonspar::testing;
+using std::chrono::milliseconds;
+
+} // namespace
+
+TEST(GrantDesk, QuotasAreChargedOnceAndGivenBack) {
+    fixture f({make_server(1, 4)});
+    admission::set_limits(f.desk.quotas, {{workspace_id{3}, {.units_per_second = 10, .burst = 10}}},
+                          f.now);
+    auto work = f.make(1, 0);
+    work.workspace = {3};
+    work.quota_units = 10;
+    f.ask(work);
+    ASSERT_TRUE(f.granted.contains(1));
+    f.ask(work, earlier_grant::server_failed);
+    EXPECT_TRUE(f.granted.contains(1)) << "another attempt is the same request";
+    auto second = f.make(2, 0);
+    second.workspace = {3};
+    second.quota_units = 10;
+    f.ask(second);
+    EXPECT_EQ(f.refused.at(2).why, reason::workspace_limit);
+    EXPECT_EQ(f.refused.at(2).retry_after, std::chrono::seconds{1});
+}
+
+// What an instance used before its restart is known to nobody once the leader is lost as well.
+TEST(GrantDesk, ARestartedHolderIsTakenToHaveUsedWhatTheOthersDid) {
+    const auto left_with = [](duration up_for) {
+        fixture f({make_server(1, 4)});
+        admission::set_limits(f.desk.quotas,
+                              {{workspace_id{3}, {.units_per_second = 10, .burst = 100}}}, f.now);
+        admission::usage_slices slices{};
+        slices.fill(4.0); // in each half second
+        f.report({.holder = {1},
+                  .started_as = {5},
+                  .used = {{workspace_id{3}, slices}},
+                  .up_for = std::chrono::minutes{5}});
+        f.report({.holder = {2}, .started_as = {5}, .up_for = up_for});
+        resume_quotas(f.desk, std::chrono::seconds{8}, 2, f.now);
+        return f.desk.quotas.buckets.at(workspace_id{3}).units;
+    };
+    EXPECT_EQ(left_with(std::chrono::minutes{5}), 100.0) << "64 units, 80 refilled";
+    EXPECT_NEAR(left_with(std::chrono::seconds{0}), 100.0 + 80.0 - 128.0, 0.01);
+}
+
+// A leader is lost, then an instance stops: what it used is told to no later leader.
+TEST(GrantDesk, AHolderThatStoppedUnheardIsTakenToHaveUsedWhatTheOthersDid) {
+    fixture f({make_server(1, 4)});
+    admission::set_limits(f.desk.quotas,
+                          {{workspace_id{3}, {.units_per_second = 10, .burst = 100}}}, f.now);
+    admission::usage_slices slices{};
+    slices.fill(3.5); // in each half second
+    for (const std::uint32_t holder : {1U, 2U}) {
+        f.report({.holder = {holder},
+                  .started_as = {5},
+                  .used = {{workspace_id{3}, slices}},
+                  .up_for = std::chrono::minutes{5}});
+    }
+    resume_quotas(f.desk, std::chrono::seconds{8}, 3, f.now);
+    EXPECT_NEAR(f.desk.quotas.buckets.at(workspace_id{3}).units, 100.0 + 80.0 - 168.0, 0.01);
+}
+
+// All entry instances restarted shortly before the leader was lost, or only a restarted one has
+// been heard: what was used before is told by nobody, and a full bucket would be a second one.
+TEST(GrantDesk, WhereNobodyCanTellWhatWasUsedABucketBeginsEmpty) {
+    const auto left_with = [](duration up_for) {
+        fixture f({make_server(1, 4)});
+        admission::set_limits(f.desk.quotas,
+                              {{workspace_id{3}, {.units_per_second = 10, .burst = 100}}}, f.now);
+        f.report({.holder = {1}, .started_as = {5}, .up_for = up_for});
+        resume_quotas(f.desk, std::chrono::seconds{8}, 1, f.now);
+        return f.desk.quotas.buckets.at(workspace_id{3}).units;
+    };
+    EXPECT_NEAR(left_with(milliseconds{100}), 0.0, 0.01);
+    EXPECT_NEAR(left_with(std::chrono::seconds{2}), 20.0, 0.01) << "refilled since";
+    EXPECT_NEAR(left_with(std::chrono::seconds{8}), 100.0, 0.01) << "nothing was used";
+}
+
+// Bookings of a workspace that sends many times its usual were turned away for the sake of prompts.
+TEST(GrantDesk, RequestsWithoutAPromptDoNotMakeRoomForPrompts) {
+    fixture f({make_server(1, 200)});
+    admission::set_limits(f.desk.quotas,
+                          {{workspace_id{3}, {.units_per_second = 1'000, .burst = 3'000}}}, f.now);
+    int booked = 0;
+    for (std::uint64_t sequence = 1; sequence <= 400; ++sequence) {
+        f.now += milliseconds{10};
+        auto work = f.make(sequence, 0);
+        work.workspace = {3};
+        const auto is_booking = sequence % 10 == 0;
+        work.rank = {static_cast<std::uint8_t>(is_booking ? 2 : 0)};
+        work.prompt = {is_booking ? 0U : 100U};
+        work.quota_units = is_booking ? 2 : 100;
+        f.ask(work);
+        booked += is_booking && f.granted.contains(sequence) ? 1 : 0;
+        f.tell(sequence, grant_news::what::done);
+    }
+    EXPECT_GE(booked, 36) << "of 40";
+}
