--- a/include/tarragonspar/gateway/detail/replies.hpp
+++ b/include/tarragonspar/gateway/detail/replies.hpp
@@ -20,7 +20,7 @@
 
 /// @brief An answer of this instance itself, for a request that gets none from a server.
 /// @param retry_after  told, spread, with the statuses that have it; zero: a few service times
-[[nodiscard]] http::reply make_refusal(unsigned status, const std::string& why, duration retry_after,
-                                       std::mt19937_64& random);
+[[nodiscard]] http::reply make_refusal(unsigned status, const std::string& why,
+                                       duration retry_after, std::mt19937_64& random);
 
 } // namespace tarragonspar::gateway::detail
--- a/include/tarragonspar/gateway/question_handler.hpp
+++ b/include/tarragonspar/gateway/question_handler.hpp
@@ -8,8 +8,8 @@
 
 namespace tarragonspar::gateway {
 
-/// @brief What instances of a deployment answer to calls that only `tarragond` makes: they forward no
-/// requests and don't gossip. Questions are left to the instance.
+/// @brief What instances of a deployment answer to calls that only `tarragond` makes: they forward
+/// no requests and don't gossip. Questions are left to the instance.
 class question_handler : public wire::handler {
 public:
     /// @brief Refuses the request.
--- a/tests/deployment_parts.hpp
+++ b/tests/deployment_parts.hpp
@@ -110,7 +110,7 @@
 };
 
 inline std::string answer_with(const seen_request& to, const std::string& status,
-                        const std::string& headers, const std::string& body) {
+                               const std::string& headers, const std::string& body) {
     return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + to.headers.at("Attempt-Id") + "\r\n" +
            headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
--- a/tests/unit-grant_desk_waiting.cpp
+++ b/tests/unit-grant_desk_waiting.cpp
@@ -1,7 +1,7 @@
 #include <gtest/gtest.h>
 
-#include "grant_desk_fixture.hpp"
 #include "desk_replay.hpp"
+#include "grant_desk_fixture.hpp"
 
 // Who waits, who is given up, and loads that are replayed.
 
