Urgent requests don't wait behind another workspace's request that is held back

Ruled out: the bound on waiting for a cache (a quarter of the objective), quotas, the leader. Change: inside a kind, workspaces beyond the slack come after the eligible ones and before the next kind. The order of fair queueing between workspaces that can be placed is as before.

--- a/include/tarragonspar/admission/tier_queue.hpp
+++ b/include/tarragonspar/admission/tier_queue.hpp
@@ -53,9 +53,11 @@
 
     /// @brief The items that would be served next, at most `limit` of them, in order.
     ///
-    /// Inside a tier, only the workspaces that are eligible now are looked at, and requests that
-    /// can still meet their latency objective go before those of their kind and the next one that
-    /// can't. Answers bursts: where all are served in order of arrival, all are late.
+    /// Inside a tier, requests that can still meet their latency objective go before those of
+    /// their kind and the next one that can't. Answers bursts: where all are served in order of
+    /// arrival, all are late. Inside a kind, workspaces beyond the slack come after the eligible
+    /// ones, the least served first. Answers requests that wait for one server to have room: they
+    /// hold up nobody else of their kind.
     /// @par Complexity  `limit` times the waiting workspaces
     [[nodiscard]] std::vector<const queued_item*>
     candidates(tier max_urgency, std::size_t limit, time_point now = time_point::min()) const;
--- a/src/admission/tier_queue.cpp
+++ b/src/admission/tier_queue.cpp
@@ -136,16 +136,16 @@
         item_order::const_iterator at;
         item_order::const_iterator end;
     };
-    const auto last = lanes.backlogged.begin()->first + options_.fairness_slack_seconds;
-    std::vector<run> runs;
-    for (const auto& [virtual_time, workspace] : lanes.backlogged) {
-        if (virtual_time > last) {
-            break;
-        }
+    const auto part_of = [&](const workspace_id& workspace) {
         const auto& order = lanes.lanes.at(workspace).order;
         const auto first_on_time = order.lower_bound({now, request_id{}});
-        const run part =
-            on_time ? run{first_on_time, order.end()} : run{order.begin(), first_on_time};
+        return on_time ? run{first_on_time, order.end()} : run{order.begin(), first_on_time};
+    };
+    const auto last = lanes.backlogged.begin()->first + options_.fairness_slack_seconds;
+    std::vector<run> runs;
+    auto at = lanes.backlogged.begin();
+    for (; at != lanes.backlogged.end() && at->first <= last; ++at) {
+        const auto part = part_of(at->second);
         if (part.at != part.end) {
             runs.push_back(part);
         }
@@ -159,6 +159,13 @@
             runs.erase(next);
         }
     }
+    // Whoever is eligible may have to wait for one server; others of the kind don't wait for it.
+    for (; at != lanes.backlogged.end() && out.size() < limit; ++at) {
+        for (auto part = part_of(at->second); part.at != part.end && out.size() < limit;
+             ++part.at) {
+            out.push_back(part.at->second);
+        }
+    }
 }
 
 std::vector<const queued_item*> tier_queue::candidates(tier max_urgency, std::size_t limit,
--- a/tests/unit-tier_queue.cpp
+++ b/tests/unit-tier_queue.cpp
@@ -101,6 +101,30 @@
     std::map<std::uint8_t, double> now_;
 };
 
+// A request that waits for one server to have room (a long prompt beside engines of unlike speed)
+// kept its workspace the least served one, and requests of the same kind of all workspaces beyond
+// the slack were passed by less urgent ones until it was placed.
+TEST(TierQueue, WorkspacesBeyondTheSlackComeBeforeLessUrgentKinds) {
+    tier_queue queue({.fairness_slack_seconds = 2.0});
+    const auto make_ranked = [](std::uint64_t sequence, std::uint8_t rank,
+                                std::uint64_t workspace) {
+        auto item = make_item(sequence, 1, workspace, 1000, 3.0);
+        item.work.rank = {rank};
+        return item;
+    };
+    queue.push(make_ranked(1, 0, 1));
+    queue.push(make_ranked(2, 0, 2));
+    ASSERT_TRUE(queue.take(make_ranked(2, 0, 2).work.id)); // workspace 2 is now beyond the slack
+    queue.push(make_ranked(3, 0, 2));
+    queue.push(make_ranked(4, 1, 3));
+
+    std::vector<std::uint64_t> order;
+    for (const auto* item : queue.candidates({tier_count - 1}, 12)) {
+        order.push_back(item->work.id.sequence);
+    }
+    EXPECT_EQ(order, (std::vector<std::uint64_t>{1, 3, 4}));
+}
+
 } // namespace
 
 TEST(TierQueue, ServesTheMostUrgentTierFirst) {
