Servers near the holder are preferred unless another is clearly sooner

A question tells the failure domain of its instance now (hash of the name), a server's domain comes from the list; a far server has to finish 1.3 times as soon. Ruled out as the source of the bytes: inner messages; prompts of 6,600 tokens at a few bytes each make up most.

--- a/include/tarragonspar/routing/server_model.hpp
+++ b/include/tarragonspar/routing/server_model.hpp
@@ -23,6 +23,7 @@
     server_id id;
     config::server_kind kind{config::server_kind::engine};
     config::server_state state{config::server_state::active};
+    domain_name_id failure_domain{}; ///< 0: not described
     std::string hardware_class;
     std::vector<model_id> offers;
     speed_estimate speed;
--- a/include/tarragonspar/types/ids.hpp
+++ b/include/tarragonspar/types/ids.hpp
@@ -22,6 +22,8 @@
 using instance_id = strong_id<struct instance_tag, std::uint32_t>;
 /// Identifies a failure domain by its position in the settings.
 using domain_id = strong_id<struct domain_tag, std::uint16_t>;
+/// Identifies a failure domain by the hash of its name, where there are no common settings.
+using domain_name_id = strong_id<struct domain_name_tag, std::uint64_t>;
 /// Identifies a backend server; unique in a deployment, never reused.
 using server_id = strong_id<struct server_tag, std::uint32_t>;
 /// Hash of a workspace name.
--- a/include/tarragonspar/types/work.hpp
+++ b/include/tarragonspar/types/work.hpp
@@ -26,6 +26,7 @@
     std::vector<server_id> avoid;   ///< servers that have failed this request already
     token_count expected_output;    ///< the caller's estimate of the answer's length; 0: none
     std::uint32_t quota_units{};    ///< what it counts against its workspace's quota
+    domain_name_id origin_domain{}; ///< of the instance that dispatches it; 0: not known
 };
 
 /// @brief Chain hashes of the whole blocks in a prompt's text.
--- a/include/tarragonspar/wire/schema/instance.capnp.h
+++ b/include/tarragonspar/wire/schema/instance.capnp.h
@@ -83,7 +83,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9f94c6cef8b46c80, 9, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(9f94c6cef8b46c80, 10, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -733,6 +733,8 @@
 
   inline  ::uint8_t getRank() const;
 
+  inline  ::uint64_t getOriginDomain() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -826,6 +828,9 @@
   inline  ::uint8_t getRank();
   inline void setRank( ::uint8_t value);
 
+  inline  ::uint64_t getOriginDomain();
+  inline void setOriginDomain( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3909,6 +3914,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Work::Reader::getOriginDomain() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Work::Builder::getOriginDomain() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Work::Builder::setOriginDomain( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Call::Reader::getPlain() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/schema/instance.capnp
+++ b/schema/instance.capnp
@@ -31,6 +31,8 @@
   objectiveUs @15 :Int64;
   # Remaining time to the latency objective; the least value means that none is stated.
   rank @16 :UInt8;
+  originDomain @17 :UInt64;
+  # Failure domain of the instance that dispatches the request; 0 means that it is not known.
 }
 
 struct Call {
--- a/src/dispatch/placing.cpp
+++ b/src/dispatch/placing.cpp
@@ -21,6 +21,9 @@
 /// Part of a request's time to its latency objective that it may wait for a cache: the prefill that
 /// is saved is seldom more.
 constexpr double hold_out_share = 0.25;
+/// How much sooner a server of another failure domain has to finish a request to be taken: bytes
+/// between failure domains cost, and a link between them may be cut while the answer is under way.
+constexpr double far_server_factor = 1.3;
 
 /// Standard deviations of its load above which a desk that shares servers fills no more of them:
 /// with many desks each has a few slots, and its load varies by as much.
@@ -184,6 +187,15 @@
     return 1.0 + source.options.choice_noise * static_cast<double>(draw >> 32U) / range;
 }
 
+/// Factor that keeps a request in the failure domain of the instance that dispatches it, unless a
+/// server elsewhere is clearly faster. Answers prices on bytes between failure domains.
+double distance_factor(const work_item& work, const routing::server_model& server) {
+    const auto is_near = work.origin_domain == server.failure_domain;
+    const auto is_known =
+        work.origin_domain != domain_name_id{} && server.failure_domain != domain_name_id{};
+    return is_known && !is_near ? far_server_factor : 1.0;
+}
+
 /// The server with room that would finish a request first; null too when a full one with more of
 /// the prompt in its cache would still finish sooner.
 routing::server_model* best_server(scheduler& target, const work_item& work, time_point now,
@@ -218,7 +230,8 @@
             some_server_finishes(target, work, output, left, now)) {
             continue; // waits for a faster server rather than run out of time on a slow one
         }
-        const auto cost = to_seconds(predicted.finish) * choice_factor(target, work, server.id);
+        const auto cost = to_seconds(predicted.finish) * choice_factor(target, work, server.id) *
+                          distance_factor(work, server);
         if (chosen == nullptr || cost < best_cost) {
             chosen = &server;
             best = predicted;
--- a/src/gateway/relay_admission.cpp
+++ b/src/gateway/relay_admission.cpp
@@ -103,6 +103,7 @@
     work.expected_output = request.caller.expected_output;
     work.blocks = blocks_of(request.caller.parts);
     work.idempotent = config::is_idempotent(*request.route);
+    work.origin_domain = {hash_name(settings_.failure_domain)};
     if (const auto* service = request.catalogue->find_service(request.service)) {
         request.tokens_per_event = std::max(1U, service->tokens_per_event);
     }
--- a/src/routing/server_model.cpp
+++ b/src/routing/server_model.cpp
@@ -23,6 +23,9 @@
     model.kind = description.kind;
     model.state = description.state;
     model.hardware_class = description.hardware_class;
+    if (!description.failure_domain.empty()) {
+        model.failure_domain = {hash_name(description.failure_domain)};
+    }
     for (const auto& name : description.offers) {
         model.offers.push_back({hash_name(name)});
     }
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -117,6 +117,7 @@
         avoid.set(i, value.avoid[i].value);
     }
     out.setQuotaUnits(value.quota_units);
+    out.setOriginDomain(value.origin_domain.value);
     out.setRank(value.rank.value);
     out.setExpectedOutput(value.expected_output.value);
     out.setObjectiveUs(value.objective == time_point{} ? no_objective
@@ -144,6 +145,7 @@
         value.avoid.push_back({id});
     }
     value.quota_units = in.getQuotaUnits();
+    value.origin_domain = {in.getOriginDomain()};
     value.rank = {std::min<std::uint8_t>(in.getRank(), rank_count - 1)};
     value.expected_output = {in.getExpectedOutput()};
     if (in.getObjectiveUs() != no_objective) {
--- a/tests/unit-grant_desk.cpp
+++ b/tests/unit-grant_desk.cpp
@@ -10,6 +10,24 @@
 using namespace tarragonspar::testing;
 using std::chrono::milliseconds;
 
+// Bytes between failure domains are dear at some sites: half of the calm load went across.
+TEST(GrantDesk, AServerNearTheHolderIsPreferredAmongEquals) {
+    auto far = make_server(1, 2);
+    far.failure_domain = "north";
+    auto near = make_server(2, 2);
+    near.failure_domain = "south";
+    fixture with({far, near});
+    for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+        auto work = with.make(sequence, 0);
+        work.origin_domain = {hash_name("south")};
+        with.ask(work);
+    }
+    ASSERT_EQ(with.granted.size(), 3U);
+    EXPECT_EQ(with.granted.at(1).server, server_id{2});
+    EXPECT_EQ(with.granted.at(2).server, server_id{2});
+    EXPECT_EQ(with.granted.at(3).server, server_id{1}); // the near one is full
+}
+
 } // namespace
 
 TEST(GrantDesk, GrantsAFreeServerAndThenTheMostUrgentThatWaits) {
