--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -356,6 +356,7 @@
             auto kept = std::move(known->second);
             kept.state = model.state;
             kept.offers = std::move(model.offers);
+            kept.failure_domain = model.failure_domain;
             kept.hardware_class = std::move(model.hardware_class);
             kept.slots_are_exact = model.slots_are_exact;
             kept.listed_slots = model.listed_slots;
--- a/tests/unit-grant_desk.cpp
+++ b/tests/unit-grant_desk.cpp
@@ -28,6 +28,21 @@
     EXPECT_EQ(with.granted.at(3).server, server_id{1}); // the near one is full
 }
 
+TEST(GrantDesk, AKnownServerTakesOverANewFailureDomain) {
+    auto moved = make_server(1, 2);
+    moved.failure_domain = "south";
+    auto other = make_server(2, 2);
+    other.failure_domain = "south";
+    fixture with({moved, other});
+    moved.failure_domain = "north";
+    std::vector<decision> made;
+    set_servers(with.desk, {moved, other}, with.now, made);
+    auto work = with.make(1, 0);
+    work.origin_domain = {hash_name("south")};
+    with.ask(work);
+    EXPECT_EQ(with.granted.at(1).server, server_id{2});
+}
+
 } // namespace
 
 TEST(GrantDesk, GrantsAFreeServerAndThenTheMostUrgentThatWaits) {
