--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -5,6 +5,7 @@
 
 #include "tarragonspar/dispatch/detail/learning.hpp"
 #include "tarragonspar/dispatch/detail/placing.hpp"
+#include "tarragonspar/dispatch/detail/server_events.hpp"
 #include "tarragonspar/dispatch/detail/shedding.hpp"
 
 namespace tarragonspar::dispatch {
@@ -53,7 +54,9 @@
         .first->second;
 }
 
-void note_left(scheduler& target, const work_item& work, time_point now) {
+} // namespace
+
+void detail::note_left(scheduler& target, const work_item& work, time_point now) {
     const auto found = target.in_system.find(work.workspace);
     if (found != target.in_system.end() && --found->second == 0) {
         target.in_system.erase(found);
@@ -64,13 +67,7 @@
     }
 }
 
-/// Whether any owned server could ever serve the model.
-bool has_server(const scheduler& source, model_id model) {
-    const auto& servers = detail::servers_for(source, model);
-    return std::any_of(servers.begin(), servers.end(), [](const auto* server) {
-        return server->state == config::server_state::active;
-    });
-}
+namespace {
 
 bool over_limit(const scheduler& source, const work_item& work) {
     const auto limit = source.limits.find(work.workspace);
@@ -81,26 +78,6 @@
     return present != source.in_system.end() && present->second >= limit->second;
 }
 
-/// Until when all servers of a request want nothing from its holder, if all do.
-std::optional<time_point> paused_until(const scheduler& source, const work_item& work,
-                                       time_point now) {
-    if (source.pauses.empty()) {
-        return std::nullopt;
-    }
-    std::optional<time_point> first;
-    for (const auto* server : detail::servers_for(source, work.model)) {
-        if (server->state != config::server_state::active) {
-            continue;
-        }
-        const auto pause = source.pauses.find({server->id, work.id.issuer});
-        if (pause == source.pauses.end() || pause->second <= now) {
-            return std::nullopt;
-        }
-        first = std::min(first.value_or(pause->second), pause->second);
-    }
-    return first;
-}
-
 /// Whether some server that a request need not avoid could serve it.
 bool has_alternative(const scheduler& source, const work_item& work) {
     const auto& servers = detail::servers_for(source, work.model);
@@ -144,23 +121,9 @@
     }
 }
 
-/// Refuses what waits for models that no server offers any more.
-void refuse_stranded(scheduler& target, time_point now, std::vector<effect>& effects) {
-    std::vector<request_id> stranded;
-    for (const auto& [id, model] : target.queued_model) {
-        if (!has_server(target, model)) {
-            stranded.push_back(id);
-        }
-    }
-    for (const auto& id : stranded) {
-        const auto item = detail::remove_queued(target, id);
-        note_left(target, item->work, now);
-        effects.emplace_back(
-            refuse{.id = id, .why = reason::no_server, .retry_after = std::chrono::seconds{1}});
-    }
-}
+// One overload of `handle` for each event; those about servers are in server_events.cpp.
 
-// One overload of `handle` for each event.
+using detail::handle;
 
 void handle(scheduler& target, const arrived& what, time_point now, std::vector<effect>& effects) {
     const auto& work = what.work;
@@ -172,12 +135,12 @@
             .id = work.id, .why = reason::workspace_limit, .retry_after = std::chrono::seconds{1}});
         return;
     }
-    if (!has_server(target, work.model)) {
+    if (!detail::has_server(target, work.model)) {
         effects.emplace_back(refuse{
             .id = work.id, .why = reason::no_server, .retry_after = std::chrono::seconds{2}});
         return;
     }
-    if (const auto until = paused_until(target, work, now)) {
+    if (const auto until = detail::paused_until(target, work, now)) {
         effects.emplace_back(
             refuse{.id = work.id, .why = reason::overloaded, .retry_after = *until - now});
         return;
@@ -205,7 +168,7 @@
 
 void handle(scheduler& target, const withdrawn& what, time_point now, std::vector<effect>&) {
     if (const auto item = detail::remove_queued(target, what.id)) {
-        note_left(target, item->work, now);
+        detail::note_left(target, item->work, now);
     }
 }
 
@@ -227,8 +190,8 @@
     }
     const auto attempts = item.failed_dispatches + 1;
     if (attempts >= max_failed_dispatches || !routing::try_retry(target.retries) ||
-        !has_server(target, item.work.model)) {
-        note_left(target, item.work, now);
+        !detail::has_server(target, item.work.model)) {
+        detail::note_left(target, item.work, now);
         effects.emplace_back(refuse{
             .id = what.id, .why = reason::no_server, .retry_after = std::chrono::seconds{2}});
     } else {
@@ -250,7 +213,7 @@
         server->second.breaker.trial_running = false;
         server->second.cache.evict(found->second.work.blocks);
     }
-    note_left(target, found->second.work, now);
+    detail::note_left(target, found->second.work, now);
     target.running.erase(found);
     detail::dispatch_ready(target, now, effects);
 }
@@ -290,7 +253,7 @@
     auto item = std::move(found->second);
     target.running.erase(found);
     release_slot(target, item);
-    note_left(target, item.work, now);
+    detail::note_left(target, item.work, now);
     const auto at = target.servers.find(item.server);
     if (at != target.servers.end()) {
         auto& server = at->second;
@@ -321,67 +284,6 @@
                            {.server = at == target.servers.end() ? nullptr : &at->second});
 }
 
-void handle(scheduler& target, const reported& what, time_point now, std::vector<effect>&) {
-    const auto found = target.servers.find(what.server);
-    if (found == target.servers.end() || what.report.made_at < found->second.report.made_at) {
-        return;
-    }
-    found->second.report = what.report;
-    routing::on_reported_waiting(found->second.in_flight_window, what.report.waiting,
-                                 now - what.report.made_at, now);
-}
-
-void handle(scheduler& target, const cache_changed& what, time_point, std::vector<effect>&) {
-    const auto found = target.servers.find(what.server);
-    if (found == target.servers.end() || !found->second.cache.accept_event(what.sequence)) {
-        return;
-    }
-    found->second.cache.insert(what.stored);
-    found->second.cache.evict(what.evicted);
-}
-
-void handle(scheduler& target, const ownership_changed& what, time_point now,
-            std::vector<effect>& effects) {
-    std::map<server_id, routing::server_model> next;
-    for (auto description : what.owned) {
-        const auto known = target.servers.find(description.id);
-        const auto listed_slots = std::max(1U, description.slots);
-        if (target.options.server_share > 0.0) {
-            const auto own = std::ceil(listed_slots * target.options.server_share);
-            description.slots = std::clamp(static_cast<std::uint32_t>(own), 1U, listed_slots);
-        }
-        auto model = routing::make_server_model(description);
-        model.listed_slots = listed_slots;
-        if (known != target.servers.end()) {
-            auto kept = std::move(known->second);
-            kept.state = model.state;
-            kept.offers = std::move(model.offers);
-            kept.failure_domain = model.failure_domain;
-            kept.hardware_class = std::move(model.hardware_class);
-            kept.slots_are_exact = model.slots_are_exact;
-            kept.listed_slots = model.listed_slots;
-            if (description.slots_are_exact) {
-                kept.in_flight_window = model.in_flight_window;
-            }
-            model = std::move(kept);
-        }
-        next.emplace(description.id, std::move(model));
-    }
-    target.servers = std::move(next);
-    target.offering.clear();
-    for (auto& [id, server] : target.servers) {
-        for (const auto model : server.offers) {
-            target.offering[model].list.push_back(&server);
-        }
-    }
-    target.limits.clear();
-    for (const auto& limit : what.limits) {
-        target.limits.emplace(workspace_id{hash_name(limit.workspace)}, limit.max_in_system);
-    }
-    refuse_stranded(target, now, effects);
-    detail::dispatch_ready(target, now, effects);
-}
-
 void handle(scheduler& target, const peer_reported& what, time_point now, std::vector<effect>&) {
     auto& peer = target.peers[what.peer];
     peer.models.clear();
@@ -429,37 +331,6 @@
     target.running.emplace(what.work.id, std::move(running));
 }
 
-void handle(scheduler& target, const server_leaves& what, time_point now,
-            std::vector<effect>& effects) {
-    const auto found = target.servers.find(what.server);
-    if (found == target.servers.end()) {
-        return;
-    }
-    found->second.state = config::server_state::draining;
-    refuse_stranded(target, now, effects);
-}
-
-void handle(scheduler& target, const server_paused& what, time_point now,
-            std::vector<effect>& effects) {
-    std::erase_if(target.pauses, [&](const auto& item) { return item.second <= now; });
-    target.pauses.insert_or_assign({what.server, what.holder}, what.until);
-    std::vector<std::pair<request_id, duration>> refused;
-    for (const auto& [id, model] : target.queued_model) {
-        if (id.issuer != what.holder) {
-            continue;
-        }
-        const auto until = paused_until(target, target.pools.at(model).queue.find(id)->work, now);
-        if (until) {
-            refused.emplace_back(id, *until - now);
-        }
-    }
-    for (const auto& [id, pause] : refused) {
-        const auto item = detail::remove_queued(target, id);
-        note_left(target, item->work, now);
-        effects.emplace_back(refuse{.id = id, .why = reason::overloaded, .retry_after = pause});
-    }
-}
-
 void handle(scheduler& target, const ticked&, time_point now, std::vector<effect>& effects) {
     detail::dispatch_ready(target, now, effects);
     detail::give_up_late(target, now, effects);
--- /dev/null
+++ b/src/dispatch/server_events.cpp
@@ -0,0 +1,149 @@
+#include "tarragonspar/dispatch/detail/server_events.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "tarragonspar/dispatch/detail/placing.hpp"
+#include "tarragonspar/dispatch/detail/shedding.hpp"
+
+namespace tarragonspar::dispatch::detail {
+
+bool has_server(const scheduler& source, model_id model) {
+    const auto& servers = servers_for(source, model);
+    return std::any_of(servers.begin(), servers.end(), [](const auto* server) {
+        return server->state == config::server_state::active;
+    });
+}
+
+std::optional<time_point> paused_until(const scheduler& source, const work_item& work,
+                                       time_point now) {
+    if (source.pauses.empty()) {
+        return std::nullopt;
+    }
+    std::optional<time_point> first;
+    for (const auto* server : servers_for(source, work.model)) {
+        if (server->state != config::server_state::active) {
+            continue;
+        }
+        const auto pause = source.pauses.find({server->id, work.id.issuer});
+        if (pause == source.pauses.end() || pause->second <= now) {
+            return std::nullopt;
+        }
+        first = std::min(first.value_or(pause->second), pause->second);
+    }
+    return first;
+}
+
+namespace {
+
+/// Refuses what waits for models that no server offers any more.
+void refuse_stranded(scheduler& target, time_point now, std::vector<effect>& effects) {
+    std::vector<request_id> stranded;
+    for (const auto& [id, model] : target.queued_model) {
+        if (!has_server(target, model)) {
+            stranded.push_back(id);
+        }
+    }
+    for (const auto& id : stranded) {
+        const auto item = remove_queued(target, id);
+        note_left(target, item->work, now);
+        effects.emplace_back(
+            refuse{.id = id, .why = reason::no_server, .retry_after = std::chrono::seconds{1}});
+    }
+}
+
+} // namespace
+
+void handle(scheduler& target, const reported& what, time_point now, std::vector<effect>&) {
+    const auto found = target.servers.find(what.server);
+    if (found == target.servers.end() || what.report.made_at < found->second.report.made_at) {
+        return;
+    }
+    found->second.report = what.report;
+    routing::on_reported_waiting(found->second.in_flight_window, what.report.waiting,
+                                 now - what.report.made_at, now);
+}
+
+void handle(scheduler& target, const cache_changed& what, time_point, std::vector<effect>&) {
+    const auto found = target.servers.find(what.server);
+    if (found == target.servers.end() || !found->second.cache.accept_event(what.sequence)) {
+        return;
+    }
+    found->second.cache.insert(what.stored);
+    found->second.cache.evict(what.evicted);
+}
+
+void handle(scheduler& target, const ownership_changed& what, time_point now,
+            std::vector<effect>& effects) {
+    std::map<server_id, routing::server_model> next;
+    for (auto description : what.owned) {
+        const auto known = target.servers.find(description.id);
+        const auto listed_slots = std::max(1U, description.slots);
+        if (target.options.server_share > 0.0) {
+            const auto own = std::ceil(listed_slots * target.options.server_share);
+            description.slots = std::clamp(static_cast<std::uint32_t>(own), 1U, listed_slots);
+        }
+        auto model = routing::make_server_model(description);
+        model.listed_slots = listed_slots;
+        if (known != target.servers.end()) {
+            auto kept = std::move(known->second);
+            kept.state = model.state;
+            kept.offers = std::move(model.offers);
+            kept.failure_domain = model.failure_domain;
+            kept.hardware_class = std::move(model.hardware_class);
+            kept.slots_are_exact = model.slots_are_exact;
+            kept.listed_slots = model.listed_slots;
+            if (description.slots_are_exact) {
+                kept.in_flight_window = model.in_flight_window;
+            }
+            model = std::move(kept);
+        }
+        next.emplace(description.id, std::move(model));
+    }
+    target.servers = std::move(next);
+    target.offering.clear();
+    for (auto& [id, server] : target.servers) {
+        for (const auto model : server.offers) {
+            target.offering[model].list.push_back(&server);
+        }
+    }
+    target.limits.clear();
+    for (const auto& limit : what.limits) {
+        target.limits.emplace(workspace_id{hash_name(limit.workspace)}, limit.max_in_system);
+    }
+    refuse_stranded(target, now, effects);
+    dispatch_ready(target, now, effects);
+}
+
+void handle(scheduler& target, const server_leaves& what, time_point now,
+            std::vector<effect>& effects) {
+    const auto found = target.servers.find(what.server);
+    if (found == target.servers.end()) {
+        return;
+    }
+    found->second.state = config::server_state::draining;
+    refuse_stranded(target, now, effects);
+}
+
+void handle(scheduler& target, const server_paused& what, time_point now,
+            std::vector<effect>& effects) {
+    std::erase_if(target.pauses, [&](const auto& item) { return item.second <= now; });
+    target.pauses.insert_or_assign({what.server, what.holder}, what.until);
+    std::vector<std::pair<request_id, duration>> refused;
+    for (const auto& [id, model] : target.queued_model) {
+        if (id.issuer != what.holder) {
+            continue;
+        }
+        const auto until = paused_until(target, target.pools.at(model).queue.find(id)->work, now);
+        if (until) {
+            refused.emplace_back(id, *until - now);
+        }
+    }
+    for (const auto& [id, pause] : refused) {
+        const auto item = remove_queued(target, id);
+        note_left(target, item->work, now);
+        effects.emplace_back(refuse{.id = id, .why = reason::overloaded, .retry_after = pause});
+    }
+}
+
+} // namespace tarragonspar::dispatch::detail
