Publications, the control replica's state and its disk writes can be followed in logs and metrics

Cause: the record can't tell what an operator's call waits for: document_published had neither start nor length, a failed replica wrote one line and no series showed it, writes to the disk had no length. Change: wait_ms, attempts, through and leader in document_published; runs and is_voter in control_group; control_replica_started, control_disk_slow; gauges for the replica's state, histograms for publications and disk writes. No decision changes; the candidates of a submission travel in one struct.

--- a/include/tarragonspar/control/replica_store.hpp
+++ b/include/tarragonspar/control/replica_store.hpp
@@ -34,6 +34,11 @@
     /// @par Errors  `storage::file_fault`
     boost::leaf::result<void> sync();
 
+    /// @brief Whether all that was collected is on the disk.
+    [[nodiscard]] bool is_synced() const noexcept {
+        return pending_.empty();
+    }
+
     /// @brief Replaces the snapshot, then starts a new log that holds only what follows it.
     /// @par Errors  `storage::file_fault`
     boost::leaf::result<void> store_snapshot(const consensus::replica& from);
--- a/include/tarragonspar/runtime/control_service.hpp
+++ b/include/tarragonspar/runtime/control_service.hpp
@@ -47,12 +47,25 @@
 
     /// @brief What is known about the group from here.
     struct group_view {
+        bool runs{false}; ///< the replica's disk can be used
+        bool is_voter{false};
         bool leads{false};
         std::optional<instance_id> leader;
         std::vector<instance_id> members; ///< voters and learners
         consensus::term_number term;
+
+        bool operator==(const group_view&) const = default;
     };
     using group_listener = std::function<void(group_view)>;
+    /// Told how long each write to the disk took, on the service's thread.
+    using disk_listener = std::function<void(duration)>;
+
+    /// @brief How the publication of a document ended.
+    struct publication {
+        bool acknowledged{false}; ///< everybody will see it or a newer one; false: unknown
+        int attempts{0};          ///< times that it was handed to a replica; -1: not known
+        std::optional<instance_id> through; ///< the replica that led and took it
+    };
 
     control_service(control_options options, wire::node& node, listener on_change);
     ~control_service() override;
@@ -72,11 +85,11 @@
 
     /// @brief Calls back on the service's thread when a document comes into force here, and when
     /// the leader or the group changes; to be set before `start`.
-    void listen(document_listener on_document, group_listener on_group);
+    void listen(document_listener on_document, group_listener on_group, disk_listener on_disk);
 
     /// @brief Publishes a document, through whichever replica leads.
-    /// @param done  gets whether everybody will see this document or a newer one; false: unknown
-    void publish(config::document what, std::function<void(bool)> done);
+    /// @param done  called once
+    void publish(config::document what, std::function<void(publication)> done);
 
     /// @brief Reads the newest document, proved to be the newest.
     /// @param done  gets nothing when that can't be proved now
@@ -101,6 +114,16 @@
         std::function<void(std::optional<control::reply>)> done;
     };
 
+    /// A command on its way to the replica that leads.
+    struct submission {
+        std::string bytes;
+        std::vector<instance_id> candidates; ///< still to be asked in this round
+        int attempts{0};
+        /// Gets the reply, if any, and the replica that gave it.
+        std::function<void(std::optional<std::string>, const submission&)> done;
+        std::optional<instance_id> through;
+    };
+
     void find_identity();
     void on_peer_states(std::size_t asked, const std::vector<wire::answer>& answers);
     void start_replica(std::uint32_t disk, bool founding);
@@ -109,6 +132,7 @@
     void step(const consensus::event& what);
     void carry_out(std::vector<consensus::effect>& effects);
     bool flush();
+    void note_write(duration taken);
     void send_all(std::vector<consensus::message>& messages);
     void on_applied(const consensus::entry& what);
     void on_proposed(const consensus::proposed& what);
@@ -128,8 +152,7 @@
     void pass_on_join(consensus::replica_id joining);
     void take_join(consensus::replica_id joining);
     void submit_here(std::string bytes, std::function<void(std::optional<std::string>)> done);
-    void submit_anywhere(std::string bytes, std::vector<instance_id> candidates, int attempts,
-                         std::function<void(std::optional<std::string>)> done);
+    void submit_anywhere(submission what);
     void publish_configuration();
     void take_configuration(const std::string& payload);
     void remember_change(const config::change& accepted, revision number);
@@ -158,6 +181,7 @@
     std::map<std::uint64_t, std::function<void(std::optional<config::document>)>> reading_;
     document_listener on_document_;
     group_listener on_group_;
+    disk_listener on_disk_;
     group_view reported_;
     bool asking_configuration_{false};
     time_point next_join_{};
--- a/include/tarragonspar/telemetry/metrics.hpp
+++ b/include/tarragonspar/telemetry/metrics.hpp
@@ -57,6 +57,16 @@
     /// @brief Sets the configuration revision in force.
     void set_revision(std::uint64_t value);
 
+    /// @brief Sets the state of this instance's control replica.
+    /// @param runs   its disk can be used
+    void set_control_replica(bool runs, bool is_voter, bool leads);
+
+    /// @brief Records the publication of a document that an operator sent here.
+    void record_publication(bool acknowledged, duration waited);
+
+    /// @brief Records a write of the control replica to its disk, with its sync.
+    void record_disk_write(duration taken);
+
     /// @brief All series in the Prometheus text format.
     [[nodiscard]] std::string expose() const;
 
@@ -76,6 +86,11 @@
     prometheus::Counter* wasted_prefill_;
     prometheus::Gauge* queued_;
     prometheus::Gauge* revision_;
+    prometheus::Gauge* control_runs_;
+    prometheus::Gauge* control_is_voter_;
+    prometheus::Gauge* control_leads_;
+    prometheus::Family<prometheus::Histogram>* publications_;
+    prometheus::Family<prometheus::Histogram>* disk_writes_;
     std::size_t max_workspaces_;
     std::mutex mutex_;
     std::map<std::string, bool> named_;
--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -70,7 +70,8 @@
         },
         [this](runtime::control_service::group_view group) {
             asio::post(context_, [this, group = std::move(group)] { on_group(group); });
-        });
+        },
+        [this](duration taken) { metrics_.record_disk_write(taken); });
     desk_ = std::make_shared<desk_service>(context_);
     directory_options list;
     list.list = settings_.deployment.server_list;
@@ -151,6 +152,7 @@
 void control_instance::on_group(runtime::control_service::group_view group) {
     const auto led = group_.leads;
     group_ = std::move(group);
+    metrics_.set_control_replica(group_.runs, group_.is_voter, group_.leads);
     schedules_ = schedules_ && group_.leads;
     if (group_.leads && !led) {
         leads_since_ = now();
@@ -332,17 +334,27 @@
         co_await with.respond(std::move(refused));
         co_return;
     }
+    const auto begun = now();
     const auto number = read.value.number;
     config::document document{.number = number, .content = std::move(content)};
-    std::function<void(std::function<void(bool)>)> start = [&](std::function<void(bool)> done) {
+    using result = runtime::control_service::publication;
+    std::function<void(std::function<void(result)>)> start = [&](std::function<void(result)> done) {
         control_->publish(std::move(document), std::move(done));
     };
-    const bool taken =
-        co_await await_bounded<bool>(context_, publish_limit, false, std::move(start));
-    telemetry::write(telemetry::log_line("document_published")
-                         .add("number", static_cast<std::int64_t>(number.value))
-                         .add("acknowledged", taken ? 1 : 0));
-    auto answer = taken ? plain(200) : plain(503, R"({"title":"no majority answers"})");
+    const auto ended = co_await await_bounded<result>(context_, publish_limit,
+                                                      result{.attempts = -1}, std::move(start));
+    const auto waited = now() - begun;
+    metrics_.record_publication(ended.acknowledged, waited);
+    telemetry::write(
+        telemetry::log_line("document_published")
+            .add("number", static_cast<std::int64_t>(number.value))
+            .add("acknowledged", ended.acknowledged ? 1 : 0)
+            .add("wait_ms", to_milliseconds(waited))
+            .add("attempts", ended.attempts)
+            .add("through", ended.through ? settings::instance_address(*ended.through) : "none")
+            .add("leader", group_.leader ? settings::instance_address(*group_.leader) : "none"));
+    auto answer =
+        ended.acknowledged ? plain(200) : plain(503, R"({"title":"no majority answers"})");
     co_await with.respond(std::move(answer));
 }
 
--- a/src/runtime/control_commands.cpp
+++ b/src/runtime/control_commands.cpp
@@ -106,36 +106,34 @@
     return list;
 }
 
-void control_service::submit_anywhere(std::string bytes, std::vector<instance_id> candidates,
-                                      int attempts,
-                                      std::function<void(std::optional<std::string>)> done) {
-    if (attempts >= max_submit_attempts || stopped_) {
-        done(std::nullopt);
+void control_service::submit_anywhere(submission what) {
+    if (what.attempts >= max_submit_attempts || stopped_) {
+        what.done(std::nullopt, what);
         return;
     }
-    if (candidates.empty()) {
-        candidates = leader_first();
+    if (what.candidates.empty()) {
+        what.candidates = leader_first();
     }
-    const auto target = candidates.front();
-    candidates.erase(candidates.begin());
+    const auto target = what.candidates.front();
+    what.candidates.erase(what.candidates.begin());
+    ++what.attempts;
     const auto self = shared_from_this();
-    const auto on_answer = [self, bytes, candidates, attempts, target,
-                            done](std::optional<std::string> reply) {
+    const auto on_answer = [self, target, what](const std::optional<std::string>& reply) {
         if (reply) {
             self->leader_hint_ = target;
-            done(reply);
+            auto ended = what;
+            ended.through = target;
+            ended.done(reply, ended);
             return;
         }
         const auto timer = std::make_shared<asio::steady_timer>(self->pool_, submit_retry);
-        timer->async_wait([self, timer, bytes, candidates, attempts, done](auto) {
-            self->submit_anywhere(bytes, candidates, attempts + 1, done);
-        });
+        timer->async_wait([self, timer, what](auto) { self->submit_anywhere(what); });
     };
     if (target == options_.self) {
-        submit_here(bytes, on_answer);
+        submit_here(std::move(what.bytes), on_answer);
         return;
     }
-    const auto payload = json{{"command", json::binary({bytes.begin(), bytes.end()})}};
+    const auto payload = json{{"command", json::binary({what.bytes.begin(), what.bytes.end()})}};
     std::string packed;
     json::to_cbor(payload, packed);
     node_.ask(
@@ -150,9 +148,11 @@
                              std::function<void(std::optional<control::reply>)> done) {
     asio::post(pool_,
                [self = shared_from_this(), bytes = control::encode(what), done = std::move(done)] {
-                   self->submit_anywhere(bytes, {}, 0, [done](std::optional<std::string> reply) {
+                   submission sent{.bytes = bytes};
+                   sent.done = [done](const std::optional<std::string>& reply, const submission&) {
                        done(reply ? std::optional{control::decode_reply(*reply)} : std::nullopt);
-                   });
+                   };
+                   self->submit_anywhere(std::move(sent));
                });
 }
 
--- a/src/runtime/control_group.cpp
+++ b/src/runtime/control_group.cpp
@@ -39,9 +39,11 @@
 
 } // namespace
 
-void control_service::listen(document_listener on_document, group_listener on_group) {
+void control_service::listen(document_listener on_document, group_listener on_group,
+                             disk_listener on_disk) {
     on_document_ = std::move(on_document);
     on_group_ = std::move(on_group);
+    on_disk_ = std::move(on_disk);
 }
 
 std::vector<instance_id> control_service::other_replicas() const {
@@ -131,7 +133,10 @@
         return;
     }
     group_view view;
-    view.leads = !failed_ && replica_->current == consensus::role::leader;
+    const auto voters = current_group(*replica_).voters;
+    view.runs = !failed_;
+    view.is_voter = std::find(voters.begin(), voters.end(), replica_->self) != voters.end();
+    view.leads = view.runs && replica_->current == consensus::role::leader;
     if (view.leads) {
         view.leader = options_.self;
     } else if (replica_->leader) {
@@ -139,14 +144,14 @@
     }
     view.term = replica_->term;
     view.members = other_replicas();
-    const auto same = view.leads == reported_.leads && view.leader == reported_.leader &&
-                      view.members == reported_.members && view.term == reported_.term;
-    if (same) {
+    if (view == reported_) {
         return;
     }
     reported_ = view;
     telemetry::write(
         telemetry::log_line("control_group")
+            .add("runs", view.runs ? 1 : 0)
+            .add("is_voter", view.is_voter ? 1 : 0)
             .add("leads", view.leads ? 1 : 0)
             .add("leader", view.leader ? settings::instance_address(*view.leader) : "none")
             .add("term", static_cast<std::int64_t>(view.term.value))
@@ -154,15 +159,20 @@
     on_group_(std::move(view));
 }
 
-void control_service::publish(config::document what, std::function<void(bool)> done) {
+void control_service::publish(config::document what, std::function<void(publication)> done) {
     asio::post(pool_, [self = shared_from_this(), what = std::move(what), done = std::move(done)] {
         if (self->state_.published.number >= what.number) {
-            done(true); // what was applied here is committed, and only a newer one replaces it
+            // What was applied here is committed, and only a newer one replaces it.
+            done({.acknowledged = true});
             return;
         }
-        self->submit_anywhere(
-            control::encode(control::command{what}), {}, 0,
-            [done](std::optional<std::string> reply) { done(reply.has_value()); });
+        submission sent{.bytes = control::encode(control::command{what})};
+        sent.done = [done](const std::optional<std::string>& reply, const submission& ended) {
+            done({.acknowledged = reply.has_value(),
+                  .attempts = ended.attempts,
+                  .through = ended.through});
+        };
+        self->submit_anywhere(std::move(sent));
     });
 }
 
--- a/src/runtime/control_service.cpp
+++ b/src/runtime/control_service.cpp
@@ -25,6 +25,8 @@
 constexpr duration max_tick = std::chrono::milliseconds{200};
 /// Pause between two tries to find out whether a group exists already.
 constexpr auto identity_retry = std::chrono::milliseconds{200};
+/// A write to the disk that takes longer is logged: a third of the shortest wait for an election.
+constexpr duration slow_write = std::chrono::milliseconds{300};
 
 /// Runs an operation on files; returns a sentence when it fails.
 template <class Operation>
@@ -208,6 +210,11 @@
         on_document_(state_.published);
     }
     applied_ = stored.snapshot.index;
+    telemetry::write(telemetry::log_line("control_replica_started")
+                         .add("disk", disk)
+                         .add("term", static_cast<std::int64_t>(stored.term.value))
+                         .add("applied", static_cast<std::int64_t>(applied_.value))
+                         .add("entries", static_cast<std::int64_t>(stored.entries.size())));
     replica_ = consensus::make_replica(options_.consensus, id, std::move(stored), now(), random_);
     publish_configuration();
     asio::post(pool_, [self = weak_from_this()] {
@@ -262,16 +269,28 @@
 }
 
 bool control_service::flush() {
-    if (!store_) {
+    if (!store_ || store_->is_synced()) {
         return true;
     }
+    const auto begun = now();
     const auto fault = run_on_disk([&] { return store_->sync(); });
+    note_write(now() - begun);
     if (!fault.empty()) {
         fail(fault);
     }
     return fault.empty();
 }
 
+void control_service::note_write(duration taken) {
+    if (on_disk_) {
+        on_disk_(taken);
+    }
+    if (taken >= slow_write) {
+        telemetry::write(
+            telemetry::log_line("control_disk_slow").add("ms", to_milliseconds(taken)));
+    }
+}
+
 void control_service::carry_out(std::vector<consensus::effect>& effects) {
     std::vector<consensus::message> messages;
     for (auto& effect : effects) {
@@ -298,7 +317,9 @@
         } else if (const auto* whole = std::get_if<consensus::restore>(&effect)) {
             restore(whole->data);
         } else if (std::holds_alternative<consensus::store_snapshot>(effect) && store_) {
+            const auto begun = now();
             const auto fault = run_on_disk([&] { return store_->store_snapshot(*replica_); });
+            note_write(now() - begun);
             if (!fault.empty()) {
                 fail(fault);
                 return;
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -57,6 +57,16 @@
       queued_(gauge(*registry_, "tarragonspar_queued_requests", "Requests waiting here")),
       revision_(gauge(*registry_, "tarragonspar_configuration_revision",
                       "Revision of the configuration in force")),
+      control_runs_(gauge(*registry_, "tarragonspar_control_replica_runs",
+                          "1 while the control replica's disk can be used")),
+      control_is_voter_(gauge(*registry_, "tarragonspar_control_replica_is_voter",
+                              "1 while the control replica's log has it as a voter")),
+      control_leads_(gauge(*registry_, "tarragonspar_control_replica_leads",
+                           "1 while the control replica leads")),
+      publications_(histogram_family(*registry_, "tarragonspar_publication_seconds",
+                                     "Time from an operator's document to its answer")),
+      disk_writes_(histogram_family(*registry_, "tarragonspar_control_disk_write_seconds",
+                                    "Time of a control replica's write with its sync")),
       max_workspaces_(max_workspaces) {}
 
 std::string metrics::shown_workspace(const std::string& workspace) {
@@ -117,6 +127,21 @@
     revision_->Set(static_cast<double>(value));
 }
 
+void metrics::set_control_replica(bool runs, bool is_voter, bool leads) {
+    control_runs_->Set(runs ? 1 : 0);
+    control_is_voter_->Set(is_voter ? 1 : 0);
+    control_leads_->Set(leads ? 1 : 0);
+}
+
+void metrics::record_publication(bool acknowledged, duration waited) {
+    publications_->Add({{"acknowledged", acknowledged ? "true" : "false"}}, wait_buckets)
+        .Observe(to_seconds(waited));
+}
+
+void metrics::record_disk_write(duration taken) {
+    disk_writes_->Add({}, wait_buckets).Observe(to_seconds(taken));
+}
+
 std::string metrics::expose() const {
     return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
