--- a/tests/deployment_fixture.hpp
+++ b/tests/deployment_fixture.hpp
@@ -137,9 +137,10 @@
 public:
     explicit platform_deployment(int controls = 1, int entries = 1)
         : wire_port_(free_port()), control_port_(free_port()), front_port_(free_port()),
-          ready_port_(free_port()), folder_(std::filesystem::temp_directory_path() /
-                                            ("tarragon-platform-" + std::to_string(::getpid()) +
-                                             "-" + std::to_string(wire_port_))) {
+          ready_port_(free_port()), metrics_port_(free_port()),
+          folder_(std::filesystem::temp_directory_path() /
+                  ("tarragon-platform-" + std::to_string(::getpid()) + "-" +
+                   std::to_string(wire_port_))) {
         std::filesystem::create_directories(folder_);
         http::server_options listen;
         listen.listen = {.address = "127.0.0.1", .port = 0};
@@ -197,7 +198,8 @@
         }
         own.role = settings::instance_role::control;
         own.http = {.address = control_address(index), .port = control_port_};
-        own.data_folder = (folder_ / std::to_string(index)).string();
+        own.deployment.metrics = {.address = control_address(index), .port = metrics_port_};
+        own.data_folder = data_folder(index).string();
         controls_[index] = std::make_unique<gateway::control_instance>(
             std::move(own), std::make_unique<platform::platform_dialect>());
         ASSERT_EQ(controls_[index]->start(), "");
@@ -220,12 +222,36 @@
     }
     void wipe_control(std::size_t index) {
         controls_[index].reset();
-        std::filesystem::remove_all(folder_ / std::to_string(index));
+        std::filesystem::remove_all(data_folder(index));
     }
     void stop_control(std::size_t index) {
         controls_[index].reset();
     }
 
+    [[nodiscard]] std::filesystem::path data_folder(std::size_t index) const {
+        return folder_ / std::to_string(index);
+    }
+    /// @brief Whether a series of a control instance stands at 1.
+    [[nodiscard]] bool is_set(const std::string& series, std::size_t control) const {
+        const auto text =
+            send(control_address(control), metrics_port_, "GET", "/metrics", "", {}).body;
+        return text.find("\n" + series + " 1\n") != std::string::npos;
+    }
+    /// @brief Waits for a control instance that leads.
+    [[nodiscard]] std::size_t find_leader() const {
+        std::size_t found = 0;
+        EXPECT_TRUE(wait_until([&] {
+            for (std::size_t i = 0; i < controls_.size(); ++i) {
+                if (controls_[i] && is_set("tarragonspar_control_replica_leads", i)) {
+                    found = i;
+                    return true;
+                }
+            }
+            return false;
+        }));
+        return found;
+    }
+
     [[nodiscard]] caller_result publish(const std::string& manifest,
                                         std::size_t control = 0) const {
         return send(control_address(control), control_port_, "POST", "/Config.Put", manifest, {});
@@ -350,6 +376,7 @@
     std::uint16_t control_port_;
     std::uint16_t front_port_;
     std::uint16_t ready_port_;
+    std::uint16_t metrics_port_;
     std::filesystem::path folder_;
     std::mutex mutex_;
     nlohmann::json listed_ = nlohmann::json::array();
