A replica whose disk failed starts again: the retry has a timer of its own

Cause: the retry waited on the timer that also drives the replica's ticks. A step that moved the next heartbeat, or the tick itself, set that timer again right after the failure; the retry was cancelled, and the next tick returned since the replica had failed. The member was lost without a process that ended. Class: two owners of one timer. Evidence: unit-deployment_disk failed before (30 s without an acknowledgement after the loss of another instance), passes now.

--- a/include/tarragonspar/runtime/control_service.hpp
+++ b/include/tarragonspar/runtime/control_service.hpp
@@ -164,6 +164,7 @@
     listener on_change_;
     boost::asio::thread_pool pool_{1};
     boost::asio::steady_timer tick_timer_;
+    boost::asio::steady_timer restart_timer_; ///< of a replica whose disk failed
     std::mt19937_64 random_;
     std::optional<consensus::replica> replica_;
     std::optional<control::replica_store> store_;
--- a/src/runtime/control_service.cpp
+++ b/src/runtime/control_service.cpp
@@ -18,9 +18,9 @@
 
 namespace {
 
-/// Bounds of the pause before the next look at what is due.
 /// Pause before a replica whose disk failed starts again from its files.
 constexpr auto disk_retry = std::chrono::milliseconds{500};
+/// Bounds of the pause before the next look at what is due.
 constexpr duration min_tick = std::chrono::milliseconds{5};
 constexpr duration max_tick = std::chrono::milliseconds{200};
 /// Pause between two tries to find out whether a group exists already.
@@ -42,7 +42,7 @@
 
 control_service::control_service(control_options options, wire::node& node, listener on_change)
     : options_(std::move(options)), node_(node), on_change_(std::move(on_change)),
-      tick_timer_(pool_), random_(std::random_device{}()) {
+      tick_timer_(pool_), restart_timer_(pool_), random_(std::random_device{}()) {
     auto first = std::make_shared<config::state>();
     first->current = options_.first;
     published_ = std::move(first);
@@ -103,6 +103,7 @@
     asio::post(pool_, [this] {
         stopped_ = true;
         tick_timer_.cancel();
+        restart_timer_.cancel();
     });
     pool_.join();
 }
@@ -422,8 +423,8 @@
         return;
     }
     // What is in memory may be ahead of the disk, so the replica starts again from its files.
-    tick_timer_.expires_after(disk_retry);
-    tick_timer_.async_wait([self = weak_from_this()](boost::system::error_code error) {
+    restart_timer_.expires_after(disk_retry);
+    restart_timer_.async_wait([self = weak_from_this()](boost::system::error_code error) {
         const auto held = self.lock();
         if (!error && held && !held->stopped_) {
             held->store_.reset();
