A control instance whose disk failed says at once that it leads no longer

What callers saw: entry instances stayed with a leader whose disk had failed, took its grants, and put no later document in force (CONFIG, DENIED). Cause: the gateway is told of the group at the end of a step; a step that fails on the disk ends early, so the view 'leads' outlived the replica. Class: a belief that only the component that failed corrects. Evidence: EntryInstancesLeaveALeaderWhoseDiskFailed (the log can't be opened again, so the replica stays down) failed before and with the replica's restart alone, passes now.

--- a/src/runtime/control_service.cpp
+++ b/src/runtime/control_service.cpp
@@ -419,6 +419,7 @@
     failed_ = true;
     telemetry::write(telemetry::log_line("control_disk_failed").add("why", why));
     give_up_waiting();
+    note_group();
     if (!options_.open_group || !disk_) {
         return;
     }
