A control instance that was removed as absent joins again

Its operators' reads were answered 503. Cause: a member asks to join only if its own log says that it is no voter. A removed one's log ends before the removal, leaders that others hear don't answer its votes, and nobody tells it. Change: one that has heard no leader for 3 s asks to join; the leader ignores the question of a voter. AControlInstanceThatWasRemovedAsAbsentJoinsAgain failed before (503 for 30 s), passes now.

--- a/src/runtime/control_commands.cpp
+++ b/src/runtime/control_commands.cpp
@@ -18,6 +18,8 @@
 
 /// Pause between two requests to become a voter.
 constexpr duration join_interval = std::chrono::milliseconds{500};
+/// Time without a leader after which a voter may have been removed meanwhile: elections take less.
+constexpr duration removed_after = std::chrono::seconds{3};
 /// Pause before a command is sent to the next candidate.
 constexpr auto submit_retry = std::chrono::milliseconds{100};
 /// Times that a command is sent before its fate counts as not known.
@@ -30,7 +32,12 @@
         return;
     }
     const auto voters = current_group(*replica_).voters;
-    if (std::find(voters.begin(), voters.end(), replica_->self) != voters.end()) {
+    const auto is_voter = std::find(voters.begin(), voters.end(), replica_->self) != voters.end();
+    // Nobody tells a removed voter, and its own log ends before its removal. The leader ignores the
+    // question of one that is still a voter.
+    const auto may_be_removed =
+        options_.open_group && !replica_->leader && now() - replica_->leader_heard > removed_after;
+    if (is_voter && !may_be_removed) {
         return;
     }
     next_join_ = now() + join_interval;
--- a/tests/unit-deployment_control.cpp
+++ b/tests/unit-deployment_control.cpp
@@ -91,6 +91,23 @@
     }
 }
 
+// It comes back with a log in which it is still a voter. It asked nobody to join, heard no leader,
+// and answered no read for the rest of its life.
+TEST(Deployment, AControlInstanceThatWasRemovedAsAbsentJoinsAgain) {
+    platform_deployment d(4, 1);
+    const auto server = make_sound("i-1");
+    d.add_server(server, "s");
+    d.serve(make_manifest(1));
+    constexpr auto is_voter = "tarragonspar_control_replica_is_voter";
+    ASSERT_TRUE(wait_until([&] { return d.is_set(is_voter, 3); }));
+    ASSERT_TRUE(wait_until([&] { return d.read_back(3).status == 200; }));
+    d.stop_control(3);
+    // Longer than voters may be silent.
+    std::this_thread::sleep_for(std::chrono::seconds{10});
+    d.start_control(3, false);
+    EXPECT_TRUE(wait_until([&] { return d.read_back(3).status == 200; }));
+}
+
 TEST(Deployment, RequestsAreServedWhileNoControlInstanceRuns) {
     platform_deployment d(1, 1);
     const auto server = make_sound("i-1");
