What a replica was asked when its disk failed is given back

What callers saw: an operator's publication to a leader whose disk was full got no answer until its limit of 3 s, and a read none until 0.9 s, though another instance led meanwhile. Cause: the step in which the disk fails ends before its effects are carried out; the question's callback stayed in a map that nobody looked at again. Class: a failure path that ends early and leaves waiters behind. Evidence: WhatTheDiskFailedUnderIsTriedAgain waited 30 s in vain for each of two failures before, passes in 2 s now.

--- a/include/tarragonspar/runtime/control_service.hpp
+++ b/include/tarragonspar/runtime/control_service.hpp
@@ -139,6 +139,8 @@
     void restore(const std::string& data);
     void fail(const std::string& why);
     void give_up_waiting();
+    /// @brief Ends what the replica was asked and did not answer before its disk failed.
+    void give_up_unstored();
     void compact_if_due();
     void ask_to_join();
     void replace_absent();
--- a/src/runtime/control_service.cpp
+++ b/src/runtime/control_service.cpp
@@ -419,6 +419,7 @@
     failed_ = true;
     telemetry::write(telemetry::log_line("control_disk_failed").add("why", why));
     give_up_waiting();
+    give_up_unstored();
     note_group();
     if (!options_.open_group || !disk_) {
         return;
@@ -444,6 +445,15 @@
     }
 }
 
+void control_service::give_up_unstored() {
+    for (const auto& [token, done] : std::exchange(proposing_, {})) {
+        done(std::nullopt);
+    }
+    for (const auto& [token, done] : std::exchange(reading_, {})) {
+        done(std::nullopt);
+    }
+}
+
 void control_service::on_messages(const std::string& bytes) {
     asio::post(pool_, [self = shared_from_this(), bytes] {
         for (auto& item : consensus::decode(bytes)) {
--- /dev/null
+++ b/tests/unit-control_service.cpp
@@ -0,0 +1,66 @@
+// The control service over a disk that fails under it.
+
+#include <atomic>
+
+#include <gtest/gtest.h>
+
+#include "full_disk.hpp"
+#include "system_fixture.hpp"
+#include "tarragonspar/gateway/question_handler.hpp"
+#include "tarragonspar/runtime/control_service.hpp"
+
+namespace {
+
+using namespace tarragonspar;
+using namespace tarragonspar::testing;
+using runtime::control_service;
+
+class no_questions final : public gateway::question_handler {
+    void on_consensus(instance_id, std::string) override {}
+    void on_question(instance_id, wire::topic, std::string,
+                     std::function<void(wire::answer)> reply) override {
+        reply({});
+    }
+};
+
+} // namespace
+
+// What was proposed in the step in which the disk failed was neither refused nor tried again: an
+// operator waited until its own limit.
+TEST(ControlService, WhatTheDiskFailedUnderIsTriedAgain) {
+    const auto folder = std::filesystem::temp_directory_path() /
+                        ("tarragon-control-" + std::to_string(::getpid()));
+    no_questions handles;
+    wire::node node({.self = {1}, .listen = {.address = "127.0.0.1", .port = free_port()}},
+                    handles);
+    ASSERT_EQ(node.start(), "");
+    runtime::control_options options;
+    options.self = {1};
+    options.replica = true;
+    options.open_group = true;
+    options.may_found = true;
+    options.data_folder = folder.string();
+    const auto service = std::make_shared<control_service>(
+        options, node, [](std::shared_ptr<const config::state>) {});
+    ASSERT_EQ(service->start(), "");
+    std::atomic<int> acknowledged{0};
+    const auto publish = [&](std::uint64_t number) {
+        service->publish({.number = {number}, .content = "x"},
+                         [&](control_service::publication ended) {
+                             acknowledged += ended.acknowledged ? 1 : 0;
+                         });
+    };
+    publish(1);
+    ASSERT_TRUE(wait_until([&] { return acknowledged == 1; }));
+    fill_open_log(folder);
+    publish(2);
+    EXPECT_TRUE(wait_until([&] { return acknowledged == 2; }));
+    std::atomic<bool> read{false};
+    fill_open_log(folder);
+    publish(3);
+    service->read_published([&](const std::optional<config::document>&) { read = true; });
+    EXPECT_TRUE(wait_until([&] { return acknowledged == 3 && read; }));
+    service->stop();
+    node.stop();
+    std::filesystem::remove_all(folder);
+}
