--- a/tests/unit-control_service.cpp
+++ b/tests/unit-control_service.cpp
@@ -28,8 +28,8 @@
 // What was proposed in the step in which the disk failed was neither refused nor tried again: an
 // operator waited until its own limit.
 TEST(ControlService, WhatTheDiskFailedUnderIsTriedAgain) {
-    const auto folder = std::filesystem::temp_directory_path() /
-                        ("tarragon-control-" + std::to_string(::getpid()));
+    const auto folder =
+        std::filesystem::temp_directory_path() / ("tarragon-control-" + std::to_string(::getpid()));
     no_questions handles;
     wire::node node({.self = {1}, .listen = {.address = "127.0.0.1", .port = free_port()}},
                     handles);
