A stop takes no request later than 2.8 s after the signal

A stream sent on a kept connection 3.4 s after the SIGTERM was taken and cut at the end of the grace, 7.7 s after it. Cause: requests were taken for half of the grace, 4 s of 8; what comes later than 3 s has to be served to its end or refused, and a long stream can't be ended in the rest. Evidence: AStopWithALongGraceTakesNothingAfterThreeSeconds failed before (200 for the late request, which ran), passes now; the older test of a grace of 6 s is unchanged and shares its body.

--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -1,5 +1,7 @@
 #include "tarragonspar/gateway/entry_instance.hpp"
 
+#include <algorithm>
+
 #include <boost/asio/post.hpp>
 
 #include "tarragonspar/gateway/plumbing.hpp"
@@ -16,6 +18,9 @@
 /// Time between saying "not ready" and the end of new connections: the platform asks once a second
 /// and needs two misses.
 constexpr auto leave_notice = std::chrono::milliseconds{2'300};
+/// Time after which a stop takes no further request, however long the grace: the users' platform
+/// lets those cut at its end that were sent 3 s after the signal at the latest.
+constexpr duration longest_taking = std::chrono::milliseconds{2'800};
 /// Part of the grace that is left unused, so that the process ends by itself.
 constexpr auto grace_margin = std::chrono::milliseconds{400};
 /// Time before that end at which requests that are still open get their final answer, so that none
@@ -126,7 +131,8 @@
     const auto end = asked + settings_.deployment.grace - grace_margin;
     leaving_ = true;
     const duration time_left = settings_.deployment.grace - grace_margin - last_answers;
-    const duration time_to_take = settings_.deployment.grace / 2;
+    const duration time_to_take =
+        std::min<duration>(settings_.deployment.grace / 2, longest_taking);
     asio::post(context_, [this, begin = now(), time_left, time_to_take] {
         must_end_ = begin + time_left;
         last_taken_ = begin + time_to_take;
--- a/tests/deployment_fixture.hpp
+++ b/tests/deployment_fixture.hpp
@@ -211,12 +211,15 @@
         own.http = {.address = entry_address(index), .port = front_port_};
         own.deployment.readiness = {.address = entry_address(index), .port = ready_port_};
         own.deployment.retry_slack = 50.0;
-        own.deployment.grace = std::chrono::milliseconds{6'000};
+        own.deployment.grace = grace;
         entries_[index] = std::make_unique<gateway::entry_instance>(
             std::move(own), std::make_unique<platform::platform_dialect>());
         ASSERT_EQ(entries_[index]->start(), "");
     }
 
+    std::chrono::milliseconds grace{
+        6'000}; ///< of the entry instances that are started from here on
+
     void stop_entry(std::size_t index) {
         entries_[index].reset();
     }
--- a/tests/unit-deployment_stop.cpp
+++ b/tests/unit-deployment_stop.cpp
@@ -74,9 +74,10 @@
     EXPECT_EQ(statuses, (std::vector<unsigned>{504, 504})) << "it may have run";
 }
 
-// An answer that had begun before the stop promised its caller that the connection stays, so the
-// next request may come when the instance has no time left for it.
-TEST(Deployment, AStopRefusesWhatComesTooLateOnAKeptConnection) {
+namespace {
+
+/// A stop while a stream runs on a kept connection, and a request that comes once it has ended.
+void expect_late_request_refused(std::chrono::milliseconds grace) {
     const scripted_server slow(
         "i-1", [](const seen_request& request, asio::ip::tcp::socket& socket) {
             write_raw(socket, stream_head(request, "sig") + chunk(event_text(1)));
@@ -87,6 +88,7 @@
             write_raw(socket, "0\r\n\r\n");
         });
     platform_deployment d;
+    d.grace = grace;
     d.add_server(slow, "s");
     d.serve(make_manifest(1));
     asio::io_context context;
@@ -116,6 +118,19 @@
     EXPECT_EQ(slow.seen().size(), 1U) << "what is refused has not run";
 }
 
+} // namespace
+
+// An answer that had begun before the stop promised its caller that the connection stays, so the
+// next request may come when the instance has no time left for it.
+TEST(Deployment, AStopRefusesWhatComesTooLateOnAKeptConnection) {
+    expect_late_request_refused(std::chrono::milliseconds{6'000});
+}
+
+// Half of a longer grace is later than the users' platform lets requests count as early.
+TEST(Deployment, AStopWithALongGraceTakesNothingAfterThreeSeconds) {
+    expect_late_request_refused(std::chrono::milliseconds{8'000});
+}
+
 // The platform's list still says ready; the server's own word counts from its first answer on.
 TEST(Deployment, AServerThatSaysItLeavesGetsNoFurtherRequest) {
     const scripted_server leaving(
