--- a/include/tarragonspar/gateway/control_link.hpp
+++ b/include/tarragonspar/gateway/control_link.hpp
@@ -23,11 +23,16 @@
 /// know which requests other entry instances send. All functions run on the context's thread.
 class control_link : public std::enable_shared_from_this<control_link> {
 public:
+    /// @brief Who sent a document.
+    struct document_origin {
+        instance_id from;
+        bool leads{false}; ///< the sender leads the control group
+    };
     struct callbacks {
         std::function<dispatch::dispatcher_report()> open_requests;
         /// Returns the quota units that this instance's requests used in the past window.
         std::function<admission::workspace_usage()> used;
-        std::function<void(const config::document&)> on_document;
+        std::function<void(const config::document&, const document_origin&)> on_document;
         std::function<void(std::uint32_t entry_instances)> on_deployment_size;
         /// Called when the list of servers has changed.
         std::function<void()> on_servers;
@@ -87,8 +92,8 @@
     void report();
     void query_peer();
     void add_peer(instance_id peer);
-    void on_peer_update(const control_update& update);
-    void apply_update(const control_update& update);
+    void on_peer_update(instance_id peer, const control_update& update);
+    void apply_update(instance_id from, const control_update& update);
     void update_local_shares();
     void on_control_update(instance_id from, std::optional<wire::answer> answer);
     void set_scheduler(std::optional<instance_id> scheduler);
--- a/include/tarragonspar/gateway/entry_instance.hpp
+++ b/include/tarragonspar/gateway/entry_instance.hpp
@@ -48,7 +48,7 @@
                   std::function<void(wire::answer)> reply) override;
 
     void make_link();
-    void on_document(const config::document& newest);
+    void on_document(const config::document& newest, const control_link::document_origin& origin);
     /// @brief Whether a catalogue and a list of servers are known.
     [[nodiscard]] bool has_initial_state() const;
     [[nodiscard]] bool is_ready() const;
@@ -57,8 +57,13 @@
 
     boost::asio::awaitable<void> handle(http::exchange& with);
     boost::asio::awaitable<void> handle_readiness(http::exchange& with);
+    /// A request that is refused before it is queued.
+    struct rejection {
+        http::reply reply;
+        std::string id; ///< the caller's
+    };
     [[nodiscard]] request_ptr admit(const http::request_message& request, time_point arrival,
-                                    http::reply& refused);
+                                    rejection& refused);
     void fill_work(relayed_request& request);
     void watch_caller(const request_ptr& request, http::exchange& with);
     /// @brief Ends the request at its deadline, or before this instance exits.
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -148,13 +148,13 @@
                                .servers_age = now() - list_.read,
                                .entry_instances = entry_instances_};
     node_.ask(peer, wire::topic::entry_report, pack(message, now()),
-              [self = shared_from_this()](std::optional<wire::answer> answer) {
-                  asio::post(self->context_, [self, answer = std::move(answer)] {
+              [self = shared_from_this(), peer](std::optional<wire::answer> answer) {
+                  asio::post(self->context_, [self, peer, answer = std::move(answer)] {
                       const auto update = answer && answer->known
                                               ? unpack_control_update(answer->payload)
                                               : std::optional<control_update>{};
                       if (update) {
-                          self->on_peer_update(*update);
+                          self->on_peer_update(peer, *update);
                       }
                   });
               });
@@ -184,8 +184,8 @@
     return update;
 }
 
-void control_link::on_peer_update(const control_update& update) {
-    apply_update(update);
+void control_link::on_peer_update(instance_id peer, const control_update& update) {
+    apply_update(peer, update);
     if (entry_instances_ == 1 && update.entry_instances > 1) {
         entry_instances_ = update.entry_instances;
         callbacks_.on_deployment_size(entry_instances_);
@@ -196,13 +196,13 @@
     }
 }
 
-void control_link::apply_update(const control_update& update) {
+void control_link::apply_update(instance_id from, const control_update& update) {
     add_contacts(update.members);
     for (const auto peer : update.peers) {
         add_peer(peer);
     }
     if (update.document) {
-        callbacks_.on_document(*update.document);
+        callbacks_.on_document(*update.document, {.from = from, .leads = update.schedules});
     }
     if (auto servers = servers_in(update)) {
         set_servers(std::move(*servers), update.servers_age);
@@ -226,7 +226,7 @@
         callbacks_.on_deployment_size(entry_instances_);
         update_local_shares();
     }
-    apply_update(*update);
+    apply_update(from, *update);
     if (update->schedules) {
         scheduler_last_seen_ = now();
         set_scheduler(from);
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -82,7 +82,10 @@
     control_link::callbacks handlers;
     handlers.open_requests = [this] { return open_requests(); };
     handlers.used = [this] { return usage_.used(now()); };
-    handlers.on_document = [this](const config::document& newest) { on_document(newest); };
+    handlers.on_document = [this](const config::document& newest,
+                                  const control_link::document_origin& origin) {
+        on_document(newest, origin);
+    };
     handlers.on_deployment_size = [this](std::uint32_t entry_instances) {
         retries_.limits.instances = entry_instances;
         directory_->set_readers(entry_instances);
@@ -173,7 +176,8 @@
     telemetry::write(telemetry::log_line("reloaded").add("level", fresh.log.level));
 }
 
-void entry_instance::on_document(const config::document& newest) {
+void entry_instance::on_document(const config::document& newest,
+                                 const control_link::document_origin& origin) {
     if (catalogue_ && newest.number <= catalogue_->value().number) {
         return;
     }
@@ -195,7 +199,9 @@
     link_->set_document(document_, catalogue_->value());
     metrics_.set_revision(newest.number.value);
     telemetry::write(telemetry::log_line("document_in_force")
-                         .add("number", static_cast<std::int64_t>(newest.number.value)));
+                         .add("number", static_cast<std::int64_t>(newest.number.value))
+                         .add("from", settings::instance_address(origin.from))
+                         .add("from_leader", origin.leads ? 1 : 0));
     notify_if_initialized();
 }
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -116,18 +116,20 @@
         // timer expires.
         co_await initial_state_timer_.async_wait(http::detail::as_result);
     }
-    http::reply refused;
+    rejection refused;
     request_ptr request;
     if (now() < accept_until_) {
         request = admit(with.request(), arrival, refused);
     } else {
-        refused = make_refusal(status_unavailable, "this instance stops", {}, random_);
+        refused.reply = make_refusal(status_unavailable, "this instance stops", {}, random_);
     }
     if (!request) {
         telemetry::write(telemetry::log_line("request_rejected")
-                             .add("status", refused.status)
-                             .add("why", refused.body));
-        co_await with.respond(std::move(refused));
+                             .add("id", refused.id.empty() ? "none" : refused.id)
+                             .add("status", refused.reply.status)
+                             .add("why", refused.reply.body)
+                             .add("revision", static_cast<std::int64_t>(document_.number.value)));
+        co_await with.respond(std::move(refused.reply));
         co_return;
     }
     ++open_count_;
--- a/src/gateway/relay_admission.cpp
+++ b/src/gateway/relay_admission.cpp
@@ -37,22 +37,23 @@
 } // namespace
 
 entry_instance::request_ptr entry_instance::admit(const http::request_message& message,
-                                                  time_point arrival, http::reply& refused) {
+                                                  time_point arrival, rejection& refused) {
     auto caller = protocol_->read_request(message);
+    refused.id = caller.name;
     if (!caller.error.empty()) {
-        refused = http::format_error(400, caller.error);
+        refused.reply = http::format_error(400, caller.error);
         return nullptr;
     }
     if (!catalogue_) {
-        refused = make_refusal(status_unavailable, "no catalogue is known yet",
-                               std::chrono::seconds{1}, random_);
+        refused.reply = make_refusal(status_unavailable, "no catalogue is known yet",
+                                     std::chrono::seconds{1}, random_);
         return nullptr;
     }
     const auto view = message.target();
     std::string target(view.data(), view.size());
     const auto* route = catalogue_->find_route(caller.host, target);
     if (route == nullptr) {
-        refused = http::format_error(status_not_found, "no route for this host and path");
+        refused.reply = http::format_error(status_not_found, "no route for this host and path");
         return nullptr;
     }
     const config::workspace* workspace = nullptr;
@@ -61,7 +62,7 @@
         workspace = catalogue_->find_workspace(caller.workspace_key);
     }
     if (key_required && workspace == nullptr) {
-        refused = http::format_error(status_unauthorized, "the key is not known");
+        refused.reply = http::format_error(status_unauthorized, "the key is not known");
         return nullptr;
     }
     auto request = std::make_shared<relayed_request>(context_.get_executor(), std::move(caller));
--- a/src/runtime/control_service.cpp
+++ b/src/runtime/control_service.cpp
@@ -212,11 +212,13 @@
         on_document_(state_.published);
     }
     applied_ = stored.snapshot.index;
-    telemetry::write(telemetry::log_line("control_replica_started")
-                         .add("disk", disk)
-                         .add("term", static_cast<std::int64_t>(stored.term.value))
-                         .add("applied", static_cast<std::int64_t>(applied_.value))
-                         .add("entries", static_cast<std::int64_t>(stored.entries.size())));
+    telemetry::write(
+        telemetry::log_line("control_replica_started")
+            .add("disk", disk)
+            .add("term", static_cast<std::int64_t>(stored.term.value))
+            .add("applied", static_cast<std::int64_t>(applied_.value))
+            .add("entries", static_cast<std::int64_t>(stored.entries.size()))
+            .add("document", static_cast<std::int64_t>(state_.published.number.value)));
     replica_ = consensus::make_replica(options_.consensus, id, std::move(stored), now(), random_);
     publish_configuration();
     asio::post(pool_, [self = weak_from_this()] {
--- a/tests/unit-control_link.cpp
+++ b/tests/unit-control_link.cpp
@@ -34,7 +34,8 @@
         gateway::control_link::callbacks handlers;
         handlers.open_requests = [] { return dispatch::dispatcher_report{}; };
         handlers.used = [] { return admission::workspace_usage{}; };
-        handlers.on_document = [](const config::document&) {};
+        handlers.on_document = [](const config::document&,
+                                  const gateway::control_link::document_origin&) {};
         handlers.on_deployment_size = [](std::uint32_t) {};
         handlers.on_servers = [] {};
         handlers.on_list_wanted = [](bool) {};
