Entry instances act on a document only if it can be known to be the newest

Callers saw 404 (and 401) for routes and keys that an acknowledged document has, later than 2 s after its acknowledgement, when all processes had been killed and started again or no leader was in reach.

Instances of the earlier version, which don't say what is newest, are read as before.

The stub of a control instance in tests says now that its document is the newest, as a leader does.

--- a/include/tarragonspar/consensus/replica.hpp
+++ b/include/tarragonspar/consensus/replica.hpp
@@ -174,6 +174,10 @@
 
 [[nodiscard]] log_index last_index(const replica& source);
 
+/// @brief Whether an entry of the current term is committed. A new leader's state machine may lack
+/// accepted commands until then.
+[[nodiscard]] bool has_committed_in_term(const replica& source);
+
 /// @brief Whether the log holds an uncommitted change of the group.
 [[nodiscard]] bool is_changing_group(const replica& source);
 
--- a/include/tarragonspar/gateway/control_link.hpp
+++ b/include/tarragonspar/gateway/control_link.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "tarragonspar/config/document_tracker.hpp"
 #include "tarragonspar/gateway/grant_service.hpp"
 #include "tarragonspar/gateway/reports.hpp"
 #include "tarragonspar/settings/instance_settings.hpp"
@@ -33,6 +34,8 @@
         /// Returns the quota units that this instance's requests used in the past window.
         std::function<admission::workspace_usage()> used;
         std::function<void(const config::document&, const document_origin&)> on_document;
+        /// Called when it changes whether the document in force is confirmed to be the newest.
+        std::function<void(bool)> on_confirmation;
         std::function<void(std::uint32_t entry_instances)> on_deployment_size;
         /// Called when the list of servers has changed.
         std::function<void()> on_servers;
@@ -69,6 +72,10 @@
     [[nodiscard]] std::optional<control_update> answer_peer(instance_id from,
                                                             const std::string& report);
 
+    /// @brief Whether the document in force was recently confirmed to be the newest, so that
+    /// requests may be refused for good by it.
+    [[nodiscard]] bool is_document_confirmed() const;
+
     /// @brief Whether a list of servers is known.
     [[nodiscard]] bool has_servers() const noexcept {
         return list_.fingerprint != 0;
@@ -92,10 +99,13 @@
     void report();
     void query_peer();
     void add_peer(instance_id peer);
-    void on_peer_update(instance_id peer, const control_update& update);
-    void apply_update(instance_id from, const control_update& update);
+    void on_peer_update(instance_id peer, time_point requested, const control_update& update);
+    void apply_update(instance_id from, config::document_update documents,
+                      const control_update& update);
+    void check_document();
     void update_local_shares();
-    void on_control_update(instance_id from, std::optional<wire::answer> answer);
+    void on_control_update(instance_id from, time_point requested,
+                           std::optional<wire::answer> answer);
     void set_scheduler(std::optional<instance_id> scheduler);
     void choose_target(std::optional<instance_id> leader);
     void retry_pending_grants();
@@ -123,7 +133,9 @@
     std::uint32_t entry_instances_{1};
     std::vector<instance_id> peers_;
     std::mt19937_64 random_;
-    config::document document_;
+    config::document_tracker documents_;
+    instance_id candidate_from_; ///< sender of the unconfirmed document
+    bool reported_confirmed_{false};
     server_list list_;
     std::shared_ptr<grant_service> local_scheduler_;
     std::unordered_map<request_id, pending_grant> pending_grants_;
--- a/include/tarragonspar/gateway/entry_instance.hpp
+++ b/include/tarragonspar/gateway/entry_instance.hpp
@@ -64,6 +64,9 @@
     };
     [[nodiscard]] request_ptr admit(const http::request_message& request, time_point arrival,
                                     rejection& refused);
+    /// @brief Refuses a request that the catalogue does not allow: with `status` if the catalogue
+    /// is confirmed to be the newest, else so that the caller returns.
+    [[nodiscard]] http::reply refuse_by_catalogue(unsigned status, const std::string& why);
     void fill_work(relayed_request& request);
     void watch_caller(const request_ptr& request, http::exchange& with);
     /// @brief Ends the request at its deadline, or before this instance exits.
--- a/include/tarragonspar/gateway/reports.hpp
+++ b/include/tarragonspar/gateway/reports.hpp
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "tarragonspar/config/document.hpp"
+#include "tarragonspar/config/document_tracker.hpp"
 #include "tarragonspar/dispatch/grant_scheduler.hpp"
 
 namespace tarragonspar::gateway {
@@ -30,6 +30,8 @@
     std::string packed_servers; ///< set if the fingerprint differs and the sender's list is newer
     duration servers_age{};     ///< time since the sender's list was read
     std::vector<instance_id> peers; ///< some entry instances to query while there is no leader
+    /// What the sender knows of the newest document; nothing if it can't know.
+    std::optional<config::newest_document> newest;
 };
 
 /// @brief A request for a grant.
--- a/include/tarragonspar/runtime/control_service.hpp
+++ b/include/tarragonspar/runtime/control_service.hpp
@@ -50,6 +50,8 @@
         bool runs{false}; ///< the replica's disk can be used
         bool is_voter{false};
         bool leads{false};
+        /// Leads and has applied everything that was accepted before its term.
+        bool is_current{false};
         std::optional<instance_id> leader;
         std::vector<instance_id> members; ///< voters and learners
         consensus::term_number term;
--- a/include/tarragonspar/telemetry/metrics.hpp
+++ b/include/tarragonspar/telemetry/metrics.hpp
@@ -57,6 +57,9 @@
     /// @brief Sets the configuration revision in force.
     void set_revision(std::uint64_t value);
 
+    /// @brief Sets whether the configuration in force is confirmed to be the newest.
+    void set_revision_confirmed(bool confirmed);
+
     /// @brief Sets the state of this instance's control replica.
     /// @param runs  whether its disk can be used
     void set_control_replica(bool runs, bool is_voter, bool leads);
@@ -86,6 +89,7 @@
     prometheus::Counter* wasted_prefill_;
     prometheus::Gauge* queued_;
     prometheus::Gauge* revision_;
+    prometheus::Gauge* revision_confirmed_;
     prometheus::Gauge* control_runs_;
     prometheus::Gauge* control_is_voter_;
     prometheus::Gauge* control_leads_;
--- a/src/consensus/log_view.cpp
+++ b/src/consensus/log_view.cpp
@@ -69,4 +69,8 @@
 
 } // namespace detail
 
+bool has_committed_in_term(const replica& source) {
+    return detail::term_at(source, source.commit) == source.term;
+}
+
 } // namespace tarragonspar::consensus
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -509,7 +509,7 @@
 
 bool may_change_group(const replica& self, const group& next) {
     const auto members_in_force = current_group(self);
-    const auto stable = term_at(self, self.commit) == self.term && !is_changing_group(self);
+    const auto stable = has_committed_in_term(self) && !is_changing_group(self);
     if (self.current != role::leader || !stable ||
         !detail::is_single_voter_change(members_in_force, next)) {
         return false;
@@ -533,8 +533,7 @@
 }
 
 void handle(context& in, const read_request& request) {
-    const auto committed_in_term = term_at(in.self, in.self.commit) == in.self.term;
-    if (in.self.current != role::leader || !committed_in_term) {
+    if (in.self.current != role::leader || !has_committed_in_term(in.self)) {
         in.effects.emplace_back(read_ready{.token = request.token, .index = std::nullopt});
         return;
     }
--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -195,7 +195,8 @@
 
 void control_instance::start_scheduling_if_ready() {
     const auto leading_for = now() - leads_since_;
-    if (schedules_ || !group_.leads || list_.fingerprint == 0 || leading_for <= takeover_min_wait) {
+    if (schedules_ || !group_.is_current || list_.fingerprint == 0 ||
+        leading_for <= takeover_min_wait) {
         return;
     }
     const auto reporting = static_cast<double>(grant_service_->dispatchers().size());
@@ -246,6 +247,9 @@
     if (newest_.number > report->document) {
         update.document = newest_;
     }
+    if (group_.is_current) {
+        update.newest = config::newest_document{.number = newest_.number};
+    }
     add_server_list(list_, *report, now(), update);
     reply({.known = true, .payload = pack(update)});
 }
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -56,6 +56,7 @@
       callbacks_(std::move(handlers)), timer_(context), contacts_(std::move(contacts)),
       random_(std::random_device{}()),
       local_scheduler_(std::make_shared<grant_service>(context, local_choice_noise)) {
+    documents_.started = now();
     list_.read = now(); // gives a leader some time to send a list before this instance reads it
     next_contact_ = contacts_.empty() ? 0 : self_.value % contacts_.size();
 }
@@ -97,6 +98,7 @@
     if (scheduler_ && now() - scheduler_last_seen_ > lost_after_intervals * interval) {
         set_scheduler(std::nullopt);
     }
+    check_document();
     callbacks_.on_list_wanted(now() - list_.read > max_list_age);
     if (!scheduler_) {
         query_peer();
@@ -112,18 +114,41 @@
         return;
     }
     const entry_report message{.open = callbacks_.open_requests(),
-                               .document = document_.number,
+                               .document = documents_.in_force.number,
                                .servers_fingerprint = list_.fingerprint,
                                .servers_age = now() - list_.read,
                                .entry_instances = entry_instances_};
     node_.ask(*target_, wire::topic::entry_report, pack(message, now()),
-              [self = shared_from_this(), from = *target_](std::optional<wire::answer> answer) {
-                  asio::post(self->context_, [self, from, answer = std::move(answer)] {
-                      self->on_control_update(from, answer);
+              [self = shared_from_this(), from = *target_,
+               requested = now()](std::optional<wire::answer> answer) {
+                  asio::post(self->context_, [self, from, requested, answer = std::move(answer)] {
+                      self->on_control_update(from, requested, answer);
                   });
               });
 }
 
+// --- the document in force ---
+
+bool control_link::is_document_confirmed() const {
+    return config::is_confirmed(documents_, now());
+}
+
+void control_link::check_document() {
+    if (const auto due = config::due_candidate(documents_, now())) {
+        documents_.candidate = {};
+        callbacks_.on_document(*due, {.from = candidate_from_});
+    }
+    const auto confirmed = is_document_confirmed();
+    if (confirmed == reported_confirmed_) {
+        return;
+    }
+    reported_confirmed_ = confirmed;
+    telemetry::write(
+        telemetry::log_line(confirmed ? "document_confirmed" : "document_unconfirmed")
+            .add("number", static_cast<std::int64_t>(documents_.in_force.number.value)));
+    callbacks_.on_confirmation(confirmed);
+}
+
 // --- other entry instances, while there is no leader ---
 
 void control_link::add_peer(instance_id peer) {
@@ -143,21 +168,21 @@
     }
     const auto peer = peers_[random_() % peers_.size()];
     const entry_report message{.open = {.dispatcher = self_},
-                               .document = document_.number,
+                               .document = documents_.in_force.number,
                                .servers_fingerprint = list_.fingerprint,
                                .servers_age = now() - list_.read,
                                .entry_instances = entry_instances_};
-    node_.ask(peer, wire::topic::entry_report, pack(message, now()),
-              [self = shared_from_this(), peer](std::optional<wire::answer> answer) {
-                  asio::post(self->context_, [self, peer, answer = std::move(answer)] {
-                      const auto update = answer && answer->known
-                                              ? unpack_control_update(answer->payload)
-                                              : std::optional<control_update>{};
-                      if (update) {
-                          self->on_peer_update(peer, *update);
-                      }
-                  });
-              });
+    node_.ask(
+        peer, wire::topic::entry_report, pack(message, now()),
+        [self = shared_from_this(), peer, requested = now()](std::optional<wire::answer> answer) {
+            asio::post(self->context_, [self, peer, requested, answer = std::move(answer)] {
+                const auto update = answer && answer->known ? unpack_control_update(answer->payload)
+                                                            : std::optional<control_update>{};
+                if (update) {
+                    self->on_peer_update(peer, requested, *update);
+                }
+            });
+        });
 }
 
 std::optional<control_update> control_link::answer_peer(instance_id from,
@@ -174,9 +199,10 @@
     }
     update.members = contacts_;
     update.entry_instances = entry_instances_;
-    if (document_.number > request->document) {
-        update.document = document_;
+    if (documents_.in_force.number > request->document) {
+        update.document = documents_.in_force;
     }
+    update.newest = config::newest_known(documents_, now());
     add_server_list(list_, *request, now(), update);
     std::sample(peers_.begin(), peers_.end(), std::back_inserter(update.peers), peers_per_update,
                 random_);
@@ -184,8 +210,14 @@
     return update;
 }
 
-void control_link::on_peer_update(instance_id peer, const control_update& update) {
-    apply_update(peer, update);
+void control_link::on_peer_update(instance_id peer, time_point requested,
+                                  const control_update& update) {
+    apply_update(peer,
+                 {.content = update.document,
+                  .newest = update.newest,
+                  .source = config::document_source::entry_instance,
+                  .requested = requested},
+                 update);
     if (entry_instances_ == 1 && update.entry_instances > 1) {
         entry_instances_ = update.entry_instances;
         callbacks_.on_deployment_size(entry_instances_);
@@ -196,14 +228,20 @@
     }
 }
 
-void control_link::apply_update(instance_id from, const control_update& update) {
+void control_link::apply_update(instance_id from, config::document_update documents,
+                                const control_update& update) {
     add_contacts(update.members);
     for (const auto peer : update.peers) {
         add_peer(peer);
     }
-    if (update.document) {
-        callbacks_.on_document(*update.document, {.from = from, .leads = update.schedules});
+    const auto next = config::receive(documents_, documents, now());
+    if (next) {
+        callbacks_.on_document(*next, {.from = from, .leads = update.schedules});
+    } else if (documents.content && documents.content->number == documents_.candidate.number) {
+        candidate_from_ = from;
     }
+    config::confirm(documents_, documents);
+    check_document();
     if (auto servers = servers_in(update)) {
         set_servers(std::move(*servers), update.servers_age);
     } else if (list_.fingerprint != 0 && update.servers_fingerprint == list_.fingerprint) {
@@ -211,7 +249,8 @@
     }
 }
 
-void control_link::on_control_update(instance_id from, std::optional<wire::answer> answer) {
+void control_link::on_control_update(instance_id from, time_point requested,
+                                     std::optional<wire::answer> answer) {
     const auto update = answer && answer->known ? unpack_control_update(answer->payload)
                                                 : std::optional<control_update>{};
     if (!update) {
@@ -226,7 +265,12 @@
         callbacks_.on_deployment_size(entry_instances_);
         update_local_shares();
     }
-    apply_update(from, *update);
+    apply_update(from,
+                 {.content = update->document,
+                  .newest = update->newest,
+                  .source = config::document_source::control_instance,
+                  .requested = requested},
+                 *update);
     if (update->schedules) {
         scheduler_last_seen_ = now();
         set_scheduler(from);
@@ -394,7 +438,7 @@
 
 void control_link::set_document(const config::document& in_force,
                                 const config::catalogue& content) {
-    document_ = in_force;
+    config::set_in_force(documents_, in_force);
     // An equal share, which the leader reserves for instances that it has no contact with.
     local_scheduler_->set_quotas(content, {}, 1.0 / std::max(1U, entry_instances_));
 }
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -86,6 +86,9 @@
                                   const control_link::document_origin& origin) {
         on_document(newest, origin);
     };
+    handlers.on_confirmation = [this](bool confirmed) {
+        metrics_.set_revision_confirmed(confirmed);
+    };
     handlers.on_deployment_size = [this](std::uint32_t entry_instances) {
         retries_.limits.instances = entry_instances;
         directory_->set_readers(entry_instances);
--- a/src/gateway/relay_admission.cpp
+++ b/src/gateway/relay_admission.cpp
@@ -17,6 +17,10 @@
 /// enough to find the server that a session used before.
 constexpr std::size_t max_reported_blocks = 32;
 
+/// Delay after which callers may return that an unconfirmed catalogue does not allow: about as long
+/// as the control group takes to elect a leader.
+constexpr duration unconfirmed_retry_after = std::chrono::seconds{1};
+
 /// Returns block hashes for a prompt's parts: equal prefixes of prompts have equal blocks.
 std::vector<block_hash> blocks_of(const std::vector<prompt_part>& parts) {
     std::vector<block_hash> blocks;
@@ -53,7 +57,7 @@
     std::string target(view.data(), view.size());
     const auto* route = catalogue_->find_route(caller.host, target);
     if (route == nullptr) {
-        refused.reply = http::format_error(status_not_found, "no route for this host and path");
+        refused.reply = refuse_by_catalogue(status_not_found, "no route for this host and path");
         return nullptr;
     }
     const config::workspace* workspace = nullptr;
@@ -62,7 +66,7 @@
         workspace = catalogue_->find_workspace(caller.workspace_key);
     }
     if (key_required && workspace == nullptr) {
-        refused.reply = http::format_error(status_unauthorized, "the key is not known");
+        refused.reply = refuse_by_catalogue(status_unauthorized, "the key is not known");
         return nullptr;
     }
     auto request = std::make_shared<relayed_request>(context_.get_executor(), std::move(caller));
@@ -88,6 +92,15 @@
     return request;
 }
 
+http::reply entry_instance::refuse_by_catalogue(unsigned status, const std::string& why) {
+    if (link_->is_document_confirmed()) {
+        return http::format_error(status, why);
+    }
+    // Callers don't return after these statuses, and a newer catalogue may allow the request.
+    return make_refusal(status_unavailable, why + " in a catalogue that may be out of date",
+                        unconfirmed_retry_after, random_);
+}
+
 void entry_instance::fill_work(relayed_request& request) {
     auto& work = request.work;
     work.id = {.issuer = settings_.id, .issued_in = started_as_, .sequence = ++next_sequence_};
--- a/src/gateway/reports.cpp
+++ b/src/gateway/reports.cpp
@@ -116,7 +116,9 @@
         {value.schedules, value.leader ? json(value.leader->value) : json(), ids(value.members),
          value.entry_instances, value.document ? json(*value.document) : json(),
          value.servers_fingerprint, cbor::binary(value.packed_servers), value.servers_age.count(),
-         ids(value.peers)}));
+         ids(value.peers),
+         value.newest ? json::array({value.newest->number.value, value.newest->age.count()})
+                      : json()}));
 }
 
 std::optional<control_update> unpack_control_update(const std::string& bytes) {
@@ -139,6 +141,17 @@
         for (const auto& id : in.at(8)) {
             value.peers.push_back({id.get<std::uint32_t>()});
         }
+        constexpr std::size_t newest_index = 9;
+        if (in.size() <= newest_index) {
+            // An instance of an earlier version does not say what is newest; its leader sends it.
+            if (value.schedules && value.document) {
+                value.newest = config::newest_document{.number = value.document->number};
+            }
+        } else if (const auto& newest = in.at(newest_index); !newest.is_null()) {
+            value.newest =
+                config::newest_document{.number = {newest.at(0).get<std::uint64_t>()},
+                                        .age = duration{newest.at(1).get<duration::rep>()}};
+        }
         return value;
     });
 }
--- a/src/runtime/control_group.cpp
+++ b/src/runtime/control_group.cpp
@@ -139,6 +139,7 @@
     view.runs = !failed_;
     view.is_voter = std::find(voters.begin(), voters.end(), replica_->self) != voters.end();
     view.leads = view.runs && replica_->current == consensus::role::leader;
+    view.is_current = view.leads && consensus::has_committed_in_term(*replica_);
     if (view.leads) {
         view.leader = options_.self;
     } else if (replica_->leader) {
@@ -155,6 +156,7 @@
             .add("runs", view.runs ? 1 : 0)
             .add("is_voter", view.is_voter ? 1 : 0)
             .add("leads", view.leads ? 1 : 0)
+            .add("is_current", view.is_current ? 1 : 0)
             .add("leader", view.leader ? settings::instance_address(*view.leader) : "none")
             .add("term", static_cast<std::int64_t>(view.term.value))
             .add("others", static_cast<std::int64_t>(view.members.size())));
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -57,6 +57,8 @@
       queued_(gauge(*registry_, "tarragonspar_queued_requests", "Requests waiting here")),
       revision_(gauge(*registry_, "tarragonspar_configuration_revision",
                       "Revision of the configuration in force")),
+      revision_confirmed_(gauge(*registry_, "tarragonspar_configuration_revision_confirmed",
+                                "1 while the configuration in force is known to be the newest")),
       control_runs_(gauge(*registry_, "tarragonspar_control_replica_runs",
                           "1 while the control replica's disk can be used")),
       control_is_voter_(gauge(*registry_, "tarragonspar_control_replica_is_voter",
@@ -127,6 +129,10 @@
     revision_->Set(static_cast<double>(value));
 }
 
+void metrics::set_revision_confirmed(bool confirmed) {
+    revision_confirmed_->Set(confirmed ? 1.0 : 0.0);
+}
+
 void metrics::set_control_replica(bool runs, bool is_voter, bool leads) {
     control_runs_->Set(runs ? 1 : 0);
     control_is_voter_->Set(is_voter ? 1 : 0);
--- a/tests/deployment_parts.hpp
+++ b/tests/deployment_parts.hpp
@@ -53,6 +53,11 @@
         const std::lock_guard lock(mutex_);
         document_ = {.number = {number}, .content = std::move(content)};
     }
+    /// Whether it says that its document is the newest, as only the leader does.
+    void set_knows_newest(bool knows) {
+        const std::lock_guard lock(mutex_);
+        knows_newest_ = knows;
+    }
     int updates_sent() {
         const std::lock_guard lock(mutex_);
         return updates_sent_;
@@ -91,6 +96,9 @@
         update.entry_instances = 1;
         update.schedules = !granted_.empty();
         update.document = document_;
+        if (knows_newest_) {
+            update.newest = config::newest_document{.number = document_.number};
+        }
         gateway::add_server_list(list_, *report, runtime::now(), update);
         ++updates_sent_;
         reply({.known = true, .payload = gateway::pack(update)});
@@ -109,6 +117,7 @@
     std::unique_ptr<wire::node> node_;
     std::mutex mutex_;
     config::document document_;
+    bool knows_newest_{true};
     int updates_sent_{0};
 };
 
--- a/tests/unit-control_link.cpp
+++ b/tests/unit-control_link.cpp
@@ -36,6 +36,7 @@
         handlers.used = [] { return admission::workspace_usage{}; };
         handlers.on_document = [](const config::document&,
                                   const gateway::control_link::document_origin&) {};
+        handlers.on_confirmation = [](bool) {};
         handlers.on_deployment_size = [](std::uint32_t) {};
         handlers.on_servers = [] {};
         handlers.on_list_wanted = [](bool) {};
--- a/tests/unit-deployment_control.cpp
+++ b/tests/unit-deployment_control.cpp
@@ -59,6 +59,41 @@
     ASSERT_TRUE(wait_until([&] { return d.call("GET", "/safe/x", "", {}).status == 404; }));
 }
 
+// After all instances had been killed and started again, entry instances put the document of a
+// control instance's snapshot in force and refused what newer documents allow.
+TEST(Deployment, ARestartedEntryInstanceRefusesNothingByAnUnconfirmedManifest) {
+    const auto server = make_healthy_server("i-1");
+    stub_control_instance control(server);
+    platform_deployment d;
+    control.start(d.control_wire());
+    auto older = nlohmann::json::parse(make_manifest(5));
+    older["routes"] = nlohmann::json::array({older["routes"][1]});
+    control.set_document(5, older.dump());
+    control.set_knows_newest(false);
+    d.start_entry(0);
+    EXPECT_EQ(d.call("GET", "/safe/x", "", {}).status, 503U);
+    control.set_document(7, make_manifest(7));
+    control.set_knows_newest(true);
+    ASSERT_TRUE(wait_until([&] { return d.ready().status == 200; }));
+    EXPECT_EQ(d.call("GET", "/safe/x", "", {}).status, 200U);
+    EXPECT_EQ(d.call("GET", "/nowhere/x", "", {}).status, 404U);
+}
+
+// An entry instance that had missed the last document answered 404 for its routes as long as no
+// leader was in reach. Callers don't return after a 404.
+TEST(Deployment, AnEntryInstanceWithoutALeaderRefusesNothingForGood) {
+    platform_deployment d(1, 1);
+    const auto server = make_healthy_server("i-1");
+    d.add_server(server, "s");
+    d.start_with(make_manifest(1));
+    ASSERT_TRUE(wait_until([&] { return d.call("GET", "/nowhere/x", "", {}).status == 404; }));
+    d.stop_control(0);
+    EXPECT_TRUE(wait_until([&] { return d.call("GET", "/nowhere/x", "", {}).status == 503; }));
+    EXPECT_EQ(d.call("GET", "/safe/x", "", {}).status, 200U);
+    d.start_control(0, false);
+    EXPECT_TRUE(wait_until([&] { return d.call("GET", "/nowhere/x", "", {}).status == 404; }));
+}
+
 TEST(Deployment, AWipedControlInstanceRejoinsWithoutItsOldVote) {
     platform_deployment d(3, 1);
     const auto server = make_healthy_server("i-1");
