Prefix index: a prompt that outlives evicted blocks is found again

Cause: the filter of prompts' first blocks forgets a generation after as many new blocks as the capacity, since these push out all older ones. Blocks that a server reported as evicted make room, so older ones stay and were no longer found: the server choice took a cached prompt for an unknown one.

Change: an evicted block no longer counts as new. The test draws one value after the other, so that both processors see the same cases. The draws of the other properties that depend on that order were left.

--- a/include/tarragonspar/routing/prefix_index.hpp
+++ b/include/tarragonspar/routing/prefix_index.hpp
@@ -99,7 +99,8 @@
     using start_filter = std::bitset<2048>;
     start_filter recent_starts_;
     start_filter older_starts_;
-    std::size_t new_entries_{}; ///< blocks added since `recent_starts_` was last cleared
+    /// Lower bound of the blocks that were added since `recent_starts_` was cleared and are held.
+    std::size_t new_entries_{};
 };
 
 } // namespace tarragonspar::routing
--- a/src/routing/prefix_index.cpp
+++ b/src/routing/prefix_index.cpp
@@ -51,6 +51,8 @@
         recency_.erase(found->second.position);
         entries_.erase(found);
         may_have_gaps_ = true;
+        // The freed space is filled before any older block is dropped.
+        new_entries_ -= new_entries_ > 0 ? 1 : 0;
     }
 }
 
--- a/tests/unit-prefix_index.cpp
+++ b/tests/unit-prefix_index.cpp
@@ -90,14 +90,29 @@
     EXPECT_LT(index.size(), before);
 }
 
+// Evicted blocks make room, so that as many new blocks as the capacity no longer push out all older
+// ones.
+TEST(PrefixIndex, FindsAPromptThatOutlivesEvictedBlocks) {
+    constexpr std::size_t capacity = 64;
+    prefix_index index(capacity);
+    index.insert(chain(1, 4));
+    for (std::uint64_t document = 2; document < 12; ++document) {
+        index.insert(chain(document, 30));
+        index.evict(chain(document, 30));
+    }
+    EXPECT_EQ(index.match(chain(1, 4)), 4U);
+}
+
 RC_GTEST_PROP(PrefixIndex, AgreesWithTheReferenceImplementation, ()) {
     const std::size_t capacity = 64;
     prefix_index index(capacity);
     reference_index reference{.capacity = capacity, .order = {}};
     const auto steps = *rc::gen::inRange(1, 60);
     for (int step = 0; step < steps; ++step) {
-        const auto blocks =
-            chain(*rc::gen::inRange<std::uint64_t>(0, 8), *rc::gen::inRange<std::size_t>(1, 30));
+        // Drawn one after the other: the order of arguments' evaluation depends on the processor.
+        const auto source = *rc::gen::inRange<std::uint64_t>(0, 8);
+        const auto length = *rc::gen::inRange<std::size_t>(1, 30);
+        const auto blocks = chain(source, length);
         if (*rc::gen::inRange(0, 5) == 0) {
             // Evicts blocks from a random position, which may be in the middle of a longer chain.
             const auto from = *rc::gen::inRange<std::size_t>(0, blocks.size());
