A late reply of a newer term no longer frees a voter from its leader

Cause: a voter refuses other candidates while it "has a live leader", which needed the leader to be known. A reply to one of its own, earlier vote requests that was delayed carries a newer term; it takes the term over, forgets its leader and votes at once, though the leader counts its answer.

The time at which it last heard of a leader now decides alone, and also where the candidate's term has become its own. A voter that has heard of no leader since it started is not bound.

--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -241,9 +241,12 @@
            std::pair(*term_at(self, last), last);
 }
 
+/// Whether this replica leads or has heard of a leader within the shortest election timeout. That
+/// it knows of a newer term or of no leader since then does not matter: the leader can't know it.
 bool has_live_leader(const context& in) {
+    const auto has_heard = in.self.leader_last_seen != time_point{};
     return in.self.current == role::leader ||
-           (in.self.leader && in.now - in.self.leader_last_seen < in.self.options.election_min);
+           (has_heard && in.now - in.self.leader_last_seen < in.self.options.election_min);
 }
 
 void on_vote_request(context& in, const message& from, const vote_request& request) {
@@ -263,7 +266,7 @@
     const auto may_grant_vote =
         in.self.current == role::follower || in.self.current == role::pre_candidate;
     const auto granted = from.term == in.self.term && vote_available && may_grant_vote &&
-                         is_log_up_to_date(in.self, request);
+                         !has_live_leader(in) && is_log_up_to_date(in.self, request);
     if (granted && !in.self.voted_for) {
         in.self.current = role::follower;
         in.self.voted_for = from.from;
--- a/tests/unit-consensus.cpp
+++ b/tests/unit-consensus.cpp
@@ -137,6 +137,31 @@
     EXPECT_FALSE(cluster.reads[7]);
 }
 
+// A reply that was delayed since an earlier election made a voter forget its leader: it elected
+// another one while the leader could rely on its answer.
+TEST(Consensus, ALateReplyOfANewerTermDoesNotFreeAVoterFromItsLeader) {
+    consensus_cluster cluster(3, 1);
+    const auto leader = cluster.elect();
+    ASSERT_TRUE(leader);
+    cluster.settle();
+    auto others = cluster.running();
+    std::erase(others, *leader);
+    const auto voter = others[0];
+    const auto candidate = others[1];
+    const auto& log = cluster.at(candidate);
+    const term_number newer{log.term.value + 1};
+    cluster.step(
+        voter,
+        received{
+            {.from = candidate, .to = voter, .term = newer, .body = vote_reply{.granted = false}}});
+    cluster.step(voter, received{{.from = candidate,
+                                  .to = voter,
+                                  .term = newer,
+                                  .body = vote_request{.last_index = last_index(log),
+                                                       .last_term = log.term}}});
+    EXPECT_FALSE(cluster.at(voter).voted_for);
+}
+
 TEST(Consensus, AReconnectedReplicaDoesNotDisruptTheLeader) {
     consensus_cluster cluster(3, 3);
     const auto leader = cluster.elect();
