A lease ends the lead of a control instance that waits, was paused or is cut off

What happens when: the replica's thread waits in fdatasync. The other voters hear nothing, elect another leader after 0.9 to 1.8 s, and that one accepts and confirms the document. The gateway's thread is told of the group by posts of the thread that waits: for it `leads` stays true. It answers every report as the instance that schedules and has no newer document, and grants. So it is after a pause of the process until the replica's thread has taken its first step, and while a leader is cut off, until check_quorum.

Cause: a belief of one thread that only another thread corrects, which may be waiting.

Evidence, the test on the code before: tests/unit-deployment_disk.cpp:65: Failure Value of: wait_until([&] { return d.call("GET", "/safe/x", "", {}).status == 404; }) Actual: false [ FAILED ] Deployment.EntryInstancesAbandonALeaderWhoseDiskStalls (31746 ms) and in its log the first leader's `control_group ... leads=0` only after `control_disk_slow ms=31113`, 30 s after `document_accepted number=2` at the others. With the change the log has `control_lease_lost age_ms=900`, then `scheduler_lost`, and the test takes 2 to 3 s.

Why it works: each broadcast of a leader is a numbered round (before, only reads raised the number). The leader notes when it sent them and takes, of the newest rounds that its voters have acknowledged, the time that a majority reaches; until election_min after it no voter of that majority votes for another. The replica publishes that end in an atomic after each step, and the gateway's thread compares it with its own clock at every report, grant request and grant. The lease begins with the first entry that is committed in the term, before which the state machine may lack accepted documents (`is_current`). Without the lease the instance answers like one that does not lead and names no leader, drops waiting requests, and begins again like a new leader once a majority answers. Acknowledgements that are read late extend the lease only from when their round was sent.

The replica's clock and the lease now use CLOCK_BOOTTIME: the steady clock stands still while a machine is suspended, and a leader would have come back with its lease.

Tests: unit-consensus has the lease of a leader in contact, of a former leader in 400 random runs, late answers, and the start of a term. Bound: a voter that restarts forgets when it heard of its leader; reads of the newest document keep the read index.

--- a/include/tarragonspar/consensus/replica.hpp
+++ b/include/tarragonspar/consensus/replica.hpp
@@ -44,6 +44,8 @@
     log_index next;
     log_index match;
     std::uint64_t acknowledged_round{};
+    /// When the newest round was sent that this replica has acknowledged.
+    time_point acknowledged_sent_at{time_point::min()};
     time_point last_seen{};
     std::optional<std::uint64_t> snapshot_offset; ///< set while a snapshot is being sent
 };
@@ -55,6 +57,12 @@
     log_index index;
 };
 
+/// @brief A round of messages that a leader sent to all other replicas.
+struct sent_round {
+    std::uint64_t number{};
+    time_point sent_at{};
+};
+
 /// @brief State of one replica, changed only by `step`.
 struct replica {
     replica_options options;
@@ -75,6 +83,7 @@
     std::set<replica_id> votes;
     std::map<replica_id, follower_progress> followers;
     std::uint64_t round{};
+    std::deque<sent_round> rounds; ///< a leader's, without gaps; those that may extend its lease
     std::vector<pending_read> reads;
     std::string incoming_snapshot; ///< chunks received so far
     snapshot_metadata incoming_metadata;
@@ -180,4 +189,17 @@
 /// @brief Whether a learner has replicated all committed entries.
 [[nodiscard]] bool is_caught_up(const replica& source, replica_id learner);
 
+/// @brief Whether the newest committed entry is of the replica's own term. A leader has then
+/// applied everything that was accepted before its term.
+[[nodiscard]] bool has_committed_in_term(const replica& source);
+
+/// @brief Returns the time before which no other replica can have been elected, as far as a leader
+/// knows: voters that have heard of a leader vote for no other within `election_min`.
+///
+/// A voter that restarts forgets when it heard of the leader, so the lease bounds how long a former
+/// leader goes on; it does not make reads linearizable.
+/// @return `std::nullopt` for a replica that does not lead or has not committed in its term;
+/// `time_point::max()` for the only voter
+[[nodiscard]] std::optional<time_point> lead_lease_end(const replica& source);
+
 } // namespace tarragonspar::consensus
--- a/include/tarragonspar/gateway/control_instance.hpp
+++ b/include/tarragonspar/gateway/control_instance.hpp
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "tarragonspar/gateway/dialect.hpp"
 #include "tarragonspar/gateway/grant_service.hpp"
@@ -51,6 +52,14 @@
     void start_scheduling_if_ready();
     void update_quota_share();
     [[nodiscard]] bool schedules() const;
+    /// @brief Whether no other instance can lead the group at present: this one does, and its lease
+    /// is not over. The control thread may be waiting for its disk meanwhile.
+    [[nodiscard]] bool holds_lead() const;
+    /// @brief Begins or ends the lead towards entry instances.
+    void update_lead();
+    /// @brief Calls `update_lead` when the lease ends.
+    void watch_lead();
+    void log_lease();
     boost::asio::awaitable<void> handle(http::exchange& with);
     boost::asio::awaitable<void> publish(http::exchange& with, std::string content);
     boost::asio::awaitable<void> read_newest(http::exchange& with);
@@ -69,7 +78,10 @@
     std::shared_ptr<http::server> metrics_server_;
     // The members below are used on the context's thread only.
     runtime::control_service::group_view group_;
-    time_point leads_since_{};
+    boost::asio::steady_timer lease_timer_;
+    bool leads_{false};          ///< `holds_lead` when it was last checked
+    time_point leads_since_{};   ///< when `leads_` was last set
+    time_point lost_lease_at_{}; ///< none: it did not lose its lease since it leads the group
     /// Whether it leads, knows the servers and has received reports of the running requests.
     bool schedules_{false};
     /// Largest number of entry instances that was reported to this instance since it leads.
--- a/include/tarragonspar/runtime/control_service.hpp
+++ b/include/tarragonspar/runtime/control_service.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <deque>
 #include <functional>
 #include <map>
@@ -50,6 +51,7 @@
         bool runs{false}; ///< the replica's disk can be used
         bool is_voter{false};
         bool leads{false};
+        bool is_current{false}; ///< leads and has applied all that was accepted before its term
         std::optional<instance_id> leader;
         std::vector<instance_id> members; ///< voters and learners
         consensus::term_number term;
@@ -96,6 +98,13 @@
     /// @param done  receives nothing when it can't be proved now that the document is the newest
     void read_published(std::function<void(std::optional<config::document>)> done);
 
+    /// @brief When this instance's lead ends unless a majority confirms it again, by
+    /// `now_with_suspension`; can be called on any thread, and while the service's thread waits.
+    /// @return `time_point::min()` while the replica does not lead; see `consensus::lead_lease_end`
+    [[nodiscard]] time_point lead_lease_end() const;
+    /// @brief Length of a lease: since the last message that a majority has answered was sent.
+    [[nodiscard]] duration lead_lease_length() const;
+
     /// @brief Handles messages of another replica.
     void on_messages(const std::string& bytes);
 
@@ -145,6 +154,7 @@
     void compact_if_due();
     void request_join();
     void remove_absent_voter();
+    /// @brief Publishes the lease and reports the group where it has changed.
     void notify_group_change();
     void on_read_ready(const consensus::read_ready& ready);
     void read_locally(std::function<void(std::optional<config::document>)> done);
@@ -189,6 +199,7 @@
     group_listener on_group_;
     disk_listener on_disk_;
     group_view reported_;
+    std::atomic<time_point> lead_lease_end_{time_point::min()};
     bool configuration_requested_{false};
     time_point next_join_{};
     mutable std::mutex published_mutex_;
--- a/src/consensus/log_view.cpp
+++ b/src/consensus/log_view.cpp
@@ -1,6 +1,7 @@
 #include "tarragonspar/consensus/detail/log_view.hpp"
 
 #include <algorithm>
+#include <functional>
 
 namespace tarragonspar::consensus {
 
@@ -23,6 +24,33 @@
     return found != source.followers.end() && found->second.match >= source.commit;
 }
 
+bool has_committed_in_term(const replica& source) {
+    return detail::term_at(source, source.commit) == source.term;
+}
+
+std::optional<time_point> lead_lease_end(const replica& source) {
+    if (source.current != role::leader || !has_committed_in_term(source)) {
+        return std::nullopt;
+    }
+    std::vector<time_point> confirmed;
+    for (const auto id : current_group(source).voters) {
+        const auto found = source.followers.find(id);
+        const auto sent_at = found != source.followers.end() ? found->second.acknowledged_sent_at
+                                                             : time_point::min();
+        confirmed.push_back(id == source.self ? time_point::max() : sent_at);
+    }
+    if (confirmed.empty()) {
+        return std::nullopt;
+    }
+    // A majority has acknowledged a round that was sent at this time or later.
+    const auto middle = confirmed.begin() + static_cast<std::ptrdiff_t>(confirmed.size() / 2);
+    std::nth_element(confirmed.begin(), middle, confirmed.end(), std::greater<>{});
+    if (*middle == time_point::min()) {
+        return std::nullopt;
+    }
+    return *middle == time_point::max() ? *middle : *middle + source.options.election_min;
+}
+
 namespace detail {
 
 std::optional<term_number> term_at(const replica& source, log_index index) {
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -120,7 +120,16 @@
     });
 }
 
+void start_round(context& in) {
+    auto& rounds = in.self.rounds;
+    rounds.push_back({.number = ++in.self.round, .sent_at = in.now});
+    while (in.now - rounds.front().sent_at >= in.self.options.election_min) {
+        rounds.pop_front();
+    }
+}
+
 void broadcast(context& in) {
+    start_round(in);
     update_followers(in);
     for (auto& [id, progress] : in.self.followers) {
         send_entries(in, id, progress);
@@ -173,6 +182,7 @@
     in.self.current = role::leader;
     in.self.leader = in.self.self;
     in.self.followers.clear();
+    in.self.rounds.clear();
     in.effects.emplace_back(role_changed{.now = role::leader, .term = in.self.term});
     update_followers(in);
     append_as_leader(in, entry_kind::barrier, {});
@@ -343,6 +353,11 @@
 void record_contact(context& in, follower_progress& progress, std::uint64_t round) {
     progress.last_seen = in.now;
     progress.acknowledged_round = std::max(progress.acknowledged_round, round);
+    const auto& rounds = in.self.rounds;
+    if (!rounds.empty() && round >= rounds.front().number && round <= rounds.back().number) {
+        progress.acknowledged_sent_at =
+            std::max(progress.acknowledged_sent_at, rounds[round - rounds.front().number].sent_at);
+    }
     answer_reads(in);
 }
 
@@ -512,7 +527,7 @@
 
 bool may_change_group(const replica& self, const group& next) {
     const auto members_in_force = current_group(self);
-    const auto stable = term_at(self, self.commit) == self.term && !is_changing_group(self);
+    const auto stable = has_committed_in_term(self) && !is_changing_group(self);
     if (self.current != role::leader || !stable ||
         !detail::is_single_voter_change(members_in_force, next)) {
         return false;
@@ -536,15 +551,13 @@
 }
 
 void handle(context& in, const read_request& request) {
-    const auto committed_in_term = term_at(in.self, in.self.commit) == in.self.term;
-    if (in.self.current != role::leader || !committed_in_term) {
+    if (in.self.current != role::leader || !has_committed_in_term(in.self)) {
         in.effects.emplace_back(read_ready{.token = request.token, .index = std::nullopt});
         return;
     }
-    ++in.self.round;
+    broadcast(in);
     in.self.reads.push_back(
         {.token = request.token, .round = in.self.round, .index = in.self.commit});
-    broadcast(in);
     answer_reads(in);
 }
 
--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -15,6 +15,7 @@
 
 namespace asio = boost::asio;
 using runtime::now;
+using runtime::now_with_suspension;
 
 namespace {
 
@@ -34,6 +35,9 @@
 /// Time for which the expected number is used as the deployment's size: dispatchers that were
 /// frozen or partitioned off return or are replaced within it.
 constexpr duration expected_count_lifetime = std::chrono::seconds{5};
+/// Bounds of the time between two checks of the lease, which every answer checks besides.
+constexpr duration min_lease_check_delay = std::chrono::milliseconds{50};
+constexpr duration max_lease_check_delay = std::chrono::seconds{1};
 /// Number of peers named in each answer to an entry instance: enough for it to know a dozen of them
 /// after a second.
 constexpr std::size_t peers_per_update = 3;
@@ -50,7 +54,8 @@
 control_instance::control_instance(settings::instance_settings settings,
                                    std::unique_ptr<const dialect> protocol)
     : settings_(std::move(settings)), protocol_(std::move(protocol)), context_(1),
-      work_guard_(asio::make_work_guard(context_)), random_(std::random_device{}()) {
+      work_guard_(asio::make_work_guard(context_)), lease_timer_(context_),
+      random_(std::random_device{}()) {
     node_ = std::make_unique<wire::node>(make_node_options(settings_),
                                          static_cast<wire::handler&>(*this));
     runtime::control_options options;
@@ -157,17 +162,71 @@
     const auto led_before = group_.leads;
     group_ = std::move(group);
     metrics_.set_control_replica(group_.runs, group_.is_voter, group_.leads);
-    schedules_ = schedules_ && group_.leads;
     if (group_.leads && !led_before) {
+        list_ = {};
+        lost_lease_at_ = {};
+    }
+    watch_lead();
+    directory_->set_wanted(group_.leads && !shutting_down_);
+}
+
+bool control_instance::holds_lead() const {
+    return group_.leads && group_.is_current && now_with_suspension() < control_->lead_lease_end();
+}
+
+void control_instance::update_lead() {
+    if (holds_lead() == leads_) {
+        return;
+    }
+    leads_ = !leads_;
+    log_lease();
+    if (leads_) {
         leads_since_ = now();
         expected_dispatchers_ = 0;
-        list_ = {};
+        if (list_.fingerprint != 0) {
+            grant_service_->set_servers(list_.servers);
+        }
+        return;
     }
-    if (!group_.leads && led_before) {
-        // Dispatchers query another instance when the answer to their query is "not known".
-        grant_service_->clear_pending();
+    schedules_ = false;
+    // Dispatchers query another instance when the answer to their query is "not known".
+    grant_service_->clear_pending();
+}
+
+void control_instance::watch_lead() {
+    update_lead();
+    if (!group_.leads || shutting_down_) {
+        lease_timer_.cancel();
+        return;
+    }
+    const auto time = now_with_suspension();
+    const auto end = std::max(time, control_->lead_lease_end());
+    lease_timer_.expires_after(
+        std::clamp(end - time, min_lease_check_delay, max_lease_check_delay));
+    lease_timer_.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            watch_lead();
+        }
+    });
+}
+
+void control_instance::log_lease() {
+    const auto end = control_->lead_lease_end();
+    if (!group_.leads || end == time_point::min()) {
+        return; // the end of the lead is logged as a change of the group
+    }
+    const auto time = now_with_suspension();
+    if (!leads_) {
+        lost_lease_at_ = time;
+        telemetry::write(
+            telemetry::log_line("control_lease_lost")
+                .add("term", static_cast<std::int64_t>(group_.term.value))
+                .add("age_ms", to_milliseconds(time - end + control_->lead_lease_length())));
+    } else if (lost_lease_at_ != time_point{}) {
+        telemetry::write(telemetry::log_line("control_lease_regained")
+                             .add("term", static_cast<std::int64_t>(group_.term.value))
+                             .add("lost_ms", to_milliseconds(time - lost_lease_at_)));
     }
-    directory_->set_wanted(group_.leads && !shutting_down_);
 }
 
 void control_instance::on_servers(std::vector<config::server> servers) {
@@ -195,7 +254,7 @@
 
 void control_instance::start_scheduling_if_ready() {
     const auto leading_for = now() - leads_since_;
-    if (schedules_ || !group_.leads || list_.fingerprint == 0 || leading_for <= takeover_min_wait) {
+    if (schedules_ || !leads_ || list_.fingerprint == 0 || leading_for <= takeover_min_wait) {
         return;
     }
     const auto reporting = static_cast<double>(grant_service_->dispatchers().size());
@@ -212,7 +271,7 @@
 }
 
 bool control_instance::schedules() const {
-    return schedules_ && !shutting_down_;
+    return schedules_ && holds_lead() && !shutting_down_;
 }
 
 // --- queries of other instances ---
@@ -224,7 +283,8 @@
         reply({});
         return;
     }
-    if (group_.leads) {
+    update_lead();
+    if (leads_) {
         grant_service_->reconcile(report->open);
         expected_dispatchers_ = std::max(expected_dispatchers_, report->entry_instances);
         start_scheduling_if_ready();
@@ -233,12 +293,13 @@
     }
     control_update update;
     update.schedules = schedules();
-    update.leader = group_.leader;
+    // Without the lease another instance may lead, which this one has not heard of.
+    update.leader = group_.leads && !leads_ ? std::nullopt : group_.leader;
     update.members = group_.members;
     update.members.push_back(settings_.id);
     const auto dispatchers = grant_service_->dispatchers();
     update.entry_instances = static_cast<std::uint32_t>(dispatchers.size());
-    if (group_.leads && now() - leads_since_ < expected_count_lifetime) {
+    if (leads_ && now() - leads_since_ < expected_count_lifetime) {
         update.entry_instances = std::max(update.entry_instances, expected_dispatchers_);
     }
     std::sample(dispatchers.begin(), dispatchers.end(), std::back_inserter(update.peers),
@@ -261,7 +322,11 @@
         handle_notice(*request->notice);
     }
     grant_service_->ask(request->work, request->previous,
-                        [reply = std::move(reply)](const dispatch::grant_result& result) {
+                        [this, reply = std::move(reply)](const dispatch::grant_result& result) {
+                            if (!schedules()) {
+                                reply({});
+                                return;
+                            }
                             reply({.known = true, .payload = pack(result)});
                         });
 }
--- a/src/runtime/control_commands.cpp
+++ b/src/runtime/control_commands.cpp
@@ -28,7 +28,8 @@
 } // namespace
 
 void control_service::request_join() {
-    if (!replica_ || now() < next_join_) {
+    const auto time = now_with_suspension();
+    if (!replica_ || time < next_join_) {
         return;
     }
     const auto voters = current_group(*replica_).voters;
@@ -36,11 +37,11 @@
     // A removed voter is not notified, and its own log ends before its removal. The leader ignores
     // the request of a replica that is still a voter.
     const auto may_be_removed = options_.open_group && !replica_->leader &&
-                                now() - replica_->leader_last_seen > assume_removed_after;
+                                time - replica_->leader_last_seen > assume_removed_after;
     if (is_voter && !may_be_removed) {
         return;
     }
-    next_join_ = now() + join_interval;
+    next_join_ = time + join_interval;
     const auto payload = json{{"join", replica_->self.value}}.dump();
     for (const auto peer : other_replicas()) {
         node_.ask(peer, wire::topic::change, payload, [](std::optional<wire::answer>) {});
--- a/src/runtime/control_group.cpp
+++ b/src/runtime/control_group.cpp
@@ -113,7 +113,7 @@
         if (found == replica_->followers.end()) {
             return;
         }
-        const auto since_contact = now() - found->second.last_seen;
+        const auto since_contact = now_with_suspension() - found->second.last_seen;
         if (since_contact > absent_voter_timeout && !absent) {
             absent = id;
         } else if (since_contact > max_contact_age) {
@@ -130,7 +130,18 @@
     step(consensus::propose_group{.token = ++next_token_, .next = std::move(next)});
 }
 
+time_point control_service::lead_lease_end() const {
+    return lead_lease_end_.load();
+}
+
+duration control_service::lead_lease_length() const {
+    return options_.consensus.election_min;
+}
+
 void control_service::notify_group_change() {
+    const auto lease_end =
+        replica_ && !failed_ ? consensus::lead_lease_end(*replica_) : std::nullopt;
+    lead_lease_end_.store(lease_end.value_or(time_point::min()));
     if (!on_group_ || !replica_) {
         return;
     }
@@ -139,6 +150,7 @@
     view.runs = !failed_;
     view.is_voter = std::find(voters.begin(), voters.end(), replica_->self) != voters.end();
     view.leads = view.runs && replica_->current == consensus::role::leader;
+    view.is_current = view.leads && consensus::has_committed_in_term(*replica_);
     if (view.leads) {
         view.leader = options_.self;
     } else if (replica_->leader) {
@@ -155,6 +167,7 @@
             .add("runs", view.runs ? 1 : 0)
             .add("is_voter", view.is_voter ? 1 : 0)
             .add("leads", view.leads ? 1 : 0)
+            .add("is_current", view.is_current ? 1 : 0)
             .add("leader", view.leader ? settings::instance_address(*view.leader) : "none")
             .add("term", static_cast<std::int64_t>(view.term.value))
             .add("others", static_cast<std::int64_t>(view.members.size())));
--- a/src/runtime/control_service.cpp
+++ b/src/runtime/control_service.cpp
@@ -217,7 +217,8 @@
                          .add("term", static_cast<std::int64_t>(stored.term.value))
                          .add("applied", static_cast<std::int64_t>(applied_.value))
                          .add("entries", static_cast<std::int64_t>(stored.entries.size())));
-    replica_ = consensus::make_replica(options_.consensus, id, std::move(stored), now(), random_);
+    replica_ = consensus::make_replica(options_.consensus, id, std::move(stored),
+                                       now_with_suspension(), random_);
     publish_configuration();
     asio::post(pool_, [self = weak_from_this()] {
         if (const auto service = self.lock()) {
@@ -233,7 +234,7 @@
     if (replica_) {
         const auto due = replica_->current == consensus::role::leader ? replica_->heartbeat_due
                                                                       : replica_->election_due;
-        delay = std::clamp(due - now(), min_tick, max_tick);
+        delay = std::clamp(due - now_with_suspension(), min_tick, max_tick);
     }
     tick_timer_.expires_after(delay);
     tick_timer_.async_wait([self = weak_from_this()](boost::system::error_code error) {
@@ -262,7 +263,7 @@
     }
     std::vector<consensus::effect> effects;
     const auto due = replica_->heartbeat_due;
-    consensus::step(*replica_, event, now(), random_, effects);
+    consensus::step(*replica_, event, now_with_suspension(), random_, effects);
     execute(effects);
     if (replica_ && replica_->heartbeat_due != due &&
         !std::holds_alternative<consensus::ticked>(event)) {
--- a/tests/consensus_cluster.hpp
+++ b/tests/consensus_cluster.hpp
@@ -44,12 +44,17 @@
     void tick_all(duration elapsed) {
         now_ += elapsed;
         for (const auto id : running()) {
-            step(id, consensus::ticked{});
+            if (!paused.contains(id)) {
+                step(id, consensus::ticked{});
+            }
         }
     }
 
     void deliver(std::size_t index, bool keep = false) {
         const auto received_message = network[index];
+        if (paused.contains(received_message.to)) {
+            return;
+        }
         if (!keep) {
             network.erase(network.begin() + static_cast<std::ptrdiff_t>(index));
         }
@@ -130,8 +135,19 @@
         return replicas_.at(id);
     }
 
+    [[nodiscard]] time_point now() const {
+        return now_;
+    }
+
+    /// Whether a replica may act as leader, by its lease.
+    [[nodiscard]] bool holds_lease(consensus::replica_id id) const {
+        const auto end = consensus::lead_lease_end(replicas_.at(id));
+        return end && now_ < *end;
+    }
+
     std::vector<consensus::message> network;
     std::set<consensus::replica_id> isolated; ///< replicas that neither receive nor send messages
+    std::set<consensus::replica_id> paused;   ///< replicas that take no step
     std::vector<std::string> violations;
     std::map<consensus::log_index, consensus::entry> committed;
     std::map<std::uint64_t, std::optional<consensus::log_index>> reads;
--- a/tests/unit-consensus.cpp
+++ b/tests/unit-consensus.cpp
@@ -52,6 +52,56 @@
     return cluster.violations;
 }
 
+/// Applies one random action that restarts no replica.
+void apply_random_pause_or_message(consensus_cluster& cluster, std::mt19937_64& random) {
+    const auto pick = random() % 100;
+    const auto ids = cluster.running();
+    const auto id = ids[random() % ids.size()];
+    if (pick < 60 && !cluster.network.empty()) {
+        cluster.deliver(random() % cluster.network.size(), random() % 12 == 0);
+    } else if (pick < 63 && !cluster.network.empty()) {
+        cluster.network.erase(cluster.network.begin() +
+                              static_cast<std::ptrdiff_t>(random() % cluster.network.size()));
+    } else if (pick < 80) {
+        cluster.tick_all(std::chrono::milliseconds{random() % 200});
+    } else if (pick < 90) {
+        cluster.propose(id, std::to_string(random()));
+    } else if (pick < 92 && cluster.paused.empty()) {
+        cluster.paused.insert(cluster.leader().value_or(id));
+    } else if (pick < 93) {
+        cluster.paused.clear();
+    } else if (pick < 94) {
+        cluster.step(id, compacted{.index = cluster.at(id).commit, .data = "state"});
+    }
+}
+
+/// How often a replica still led its old term after another one had committed in a later one, and
+/// how often it held a lease then.
+struct former_leaders {
+    int seen{0};
+    int with_lease{0};
+};
+
+former_leaders count_former_leaders(std::uint64_t seed, std::size_t replicas, int steps) {
+    std::mt19937_64 random(seed);
+    consensus_cluster cluster(replicas, seed);
+    former_leaders out;
+    for (int i = 0; i < steps; ++i) {
+        apply_random_pause_or_message(cluster, random);
+        const auto newest =
+            cluster.committed.empty() ? term_number{} : cluster.committed.rbegin()->second.term;
+        for (const auto id : cluster.running()) {
+            const auto& replica = cluster.at(id);
+            if (replica.current != role::leader || replica.term >= newest) {
+                continue;
+            }
+            ++out.seen;
+            out.with_lease += cluster.holds_lease(id) ? 1 : 0;
+        }
+    }
+    return out;
+}
+
 bool any_run_fails(injected_faults faults) {
     for (std::uint64_t seed = 1; seed <= 400; ++seed) {
         if (!run_randomly(seed, faults, 600).empty()) {
@@ -162,6 +212,83 @@
     EXPECT_FALSE(cluster.at(voter).voted_for);
 }
 
+// A leader without a lease does not grant, so a healthy group must not lose it between two rounds.
+TEST(Consensus, ALeaderInContactAlwaysHoldsALease) {
+    for (const std::size_t replicas : {1U, 3U, 4U, 5U}) {
+        consensus_cluster cluster(replicas, 1);
+        const auto leader = cluster.elect();
+        ASSERT_TRUE(leader);
+        for (int i = 0; i < 200; ++i) {
+            ASSERT_TRUE(cluster.holds_lease(*leader)) << replicas << " replicas, tick " << i;
+            cluster.tick_all(std::chrono::milliseconds{50});
+            cluster.deliver_all();
+        }
+    }
+}
+
+// A leader that was paused or cut off went on granting by an old document.
+TEST(Consensus, NoLeaderHoldsALeaseAfterAnotherHasCommitted) {
+    int seen = 0;
+    for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+        const auto former = count_former_leaders(seed, seed % 2 == 0 ? 3 : 5, 1500);
+        seen += former.seen;
+        ASSERT_EQ(former.with_lease, 0) << "seed " << seed;
+    }
+    EXPECT_GT(seen, 0) << "no run had a leader that did not know of its successor";
+}
+
+// Answers that waited behind a stalled disk must not prove that the leader is in contact now.
+TEST(Consensus, ALateAnswerExtendsTheLeaseFromWhenItsRoundWasSent) {
+    consensus_cluster cluster(3, 2);
+    const auto leader = cluster.elect();
+    ASSERT_TRUE(leader);
+    cluster.settle();
+    cluster.step(*leader, read_request{.token = 1});
+    const auto sent_at = cluster.now();
+    const auto end = sent_at + cluster.at(*leader).options.election_min;
+    cluster.paused.insert(*leader);
+    for (std::size_t i = 0; i < cluster.network.size();) {
+        const auto waiting = cluster.network.size();
+        cluster.deliver(i);
+        i += cluster.network.size() == waiting ? 1 : 0; // to the paused leader
+    }
+    cluster.tick_all(std::chrono::milliseconds{700});
+    cluster.paused.clear();
+    cluster.deliver_all();
+    EXPECT_EQ(lead_lease_end(cluster.at(*leader)), end);
+}
+
+// A new leader's state machine may lack documents that were accepted before its term.
+TEST(Consensus, ANewLeaderHoldsNoLeaseBeforeItHasCommitted) {
+    consensus_cluster cluster(3, 1);
+    const auto old = cluster.elect();
+    ASSERT_TRUE(old);
+    cluster.settle();
+    // The other replica's answers confirm the new leader before it has caught up.
+    const auto behind = cluster.running()[0] == *old ? cluster.running()[1] : cluster.running()[0];
+    cluster.isolated.insert(behind);
+    cluster.propose(*old, "accepted");
+    cluster.deliver_all();
+    cluster.isolated.clear();
+    cluster.crash(*old);
+    int without_lease = 0;
+    for (int i = 0; i < 1000; ++i) {
+        if (cluster.network.empty()) {
+            cluster.tick_all(std::chrono::milliseconds{10});
+        } else {
+            cluster.deliver(0);
+        }
+        if (const auto leader = cluster.leader()) {
+            const auto is_current = has_committed_in_term(cluster.at(*leader));
+            ASSERT_EQ(cluster.holds_lease(*leader), is_current);
+            without_lease += is_current ? 0 : 1;
+        }
+    }
+    EXPECT_GT(without_lease, 0);
+    ASSERT_TRUE(cluster.leader());
+    EXPECT_TRUE(cluster.holds_lease(*cluster.leader()));
+}
+
 TEST(Consensus, AReconnectedReplicaDoesNotDisruptTheLeader) {
     consensus_cluster cluster(3, 3);
     const auto leader = cluster.elect();
--- a/tests/unit-control_service.cpp
+++ b/tests/unit-control_service.cpp
@@ -23,6 +23,16 @@
     }
 };
 
+runtime::control_options single_replica(const std::string& folder) {
+    runtime::control_options options;
+    options.self = {1};
+    options.replica = true;
+    options.open_group = true;
+    options.may_found = true;
+    options.data_folder = folder;
+    return options;
+}
+
 } // namespace
 
 // Guards against proposals that are neither rejected nor retried when the disk fails in their step:
@@ -34,14 +44,8 @@
     wire::node node({.self = {1}, .listen = {.address = "127.0.0.1", .port = free_port()}},
                     message_handler);
     ASSERT_EQ(node.start(), "");
-    runtime::control_options options;
-    options.self = {1};
-    options.replica = true;
-    options.open_group = true;
-    options.may_found = true;
-    options.data_folder = folder.string();
     const auto service = std::make_shared<control_service>(
-        options, node, [](std::shared_ptr<const config::state>) {});
+        single_replica(folder.string()), node, [](std::shared_ptr<const config::state>) {});
     ASSERT_EQ(service->start(), "");
     std::atomic<int> acknowledged{0};
     const auto publish = [&](std::uint64_t number) {
@@ -64,3 +68,24 @@
     node.stop();
     std::filesystem::remove_all(folder);
 }
+
+// The gateway's thread must not go on as leader by a lease of a replica that has failed.
+TEST(ControlService, AFailedReplicaHoldsNoLease) {
+    const auto folder = std::filesystem::temp_directory_path() /
+                        ("tarragon-control-lease-" + std::to_string(::getpid()));
+    no_queries message_handler;
+    wire::node node({.self = {1}, .listen = {.address = "127.0.0.1", .port = free_port()}},
+                    message_handler);
+    ASSERT_EQ(node.start(), "");
+    const auto service = std::make_shared<control_service>(
+        single_replica(folder.string()), node, [](std::shared_ptr<const config::state>) {});
+    EXPECT_EQ(service->lead_lease_end(), time_point::min());
+    ASSERT_EQ(service->start(), "");
+    EXPECT_TRUE(wait_until([&] { return service->lead_lease_end() == time_point::max(); }));
+    lose_log(folder);
+    service->publish({.number = {1}, .content = "x"}, [](control_service::publication) {});
+    EXPECT_TRUE(wait_until([&] { return service->lead_lease_end() == time_point::min(); }));
+    service->stop();
+    node.stop();
+    std::filesystem::remove_all(folder);
+}
--- a/tests/unit-deployment_disk.cpp
+++ b/tests/unit-deployment_disk.cpp
@@ -1,9 +1,12 @@
 // Control instances whose disks fail while they run.
 
+#include <future>
+
 #include <gtest/gtest.h>
 
 #include "deployment_parts.hpp"
 #include "full_disk.hpp"
+#include "stalled_disk.hpp"
 
 namespace {
 
@@ -48,3 +51,48 @@
         [&] { return d.publish(manifest_without_safe(2), (failed + 1) % 3).status == 200; }));
     EXPECT_TRUE(wait_until([&] { return d.call("GET", "/safe/x", "", {}).status == 404; }));
 }
+
+// A leader whose thread waited for its disk told entry instances that there was no newer document,
+// while another leader had accepted one.
+TEST(Deployment, EntryInstancesAbandonALeaderWhoseDiskStalls) {
+    platform_deployment d(3, 1);
+    const auto server = make_healthy_server("i-1");
+    d.add_server(server, "s");
+    d.start_with(make_manifest(1));
+    ASSERT_EQ(d.call("GET", "/safe/x", "", {}).status, 200U);
+    const auto stalled = d.find_leader();
+    const stalled_disk disk(d.data_folder(stalled));
+    ASSERT_TRUE(wait_until(
+        [&] { return d.publish(manifest_without_safe(2), (stalled + 1) % 3).status == 200; }));
+    EXPECT_TRUE(wait_until([&] { return d.call("GET", "/safe/x", "", {}).status == 404; }));
+    EXPECT_TRUE(stalled_disk::is_waited_for()) << "the disk must stall all the while";
+}
+
+// A leader that had lost its lease had forgotten the servers and the requests that wait when it
+// went on: it must serve as a new leader does. The other voter can't be elected alone.
+TEST(Deployment, ALeaderWhoseDiskStalledBrieflyServesAgain) {
+    platform_deployment d(2, 1);
+    const auto server = make_healthy_server("i-1");
+    d.add_server(server, "s");
+    d.start_with(make_manifest(1));
+    const auto stalled = d.find_leader();
+    std::future<caller_result> publication;
+    {
+        const stalled_disk disk(d.data_folder(stalled));
+        publication =
+            std::async(std::launch::async, [&] { return d.publish(make_manifest(2), stalled); });
+        ASSERT_TRUE(wait_until([] { return stalled_disk::is_waited_for(); }));
+        // Longer than a lease, shorter than the time after which a leader steps down.
+        std::this_thread::sleep_for(std::chrono::milliseconds{1'300});
+        EXPECT_EQ(d.call("GET", "/safe/x", "", {}).status, 200U) << "without the leader";
+    }
+    publication.get();
+    ASSERT_TRUE(
+        wait_until([&] { return d.publish(manifest_without_safe(3), stalled).status == 200; }));
+    EXPECT_TRUE(wait_until([&] { return d.call("GET", "/safe/x", "", {}).status == 404; }));
+    // While the leader collects reports, and when it grants again.
+    for (int i = 0; i < 50; ++i) {
+        ASSERT_EQ(d.call("GET", "/once/x", "", {}).status, 200U) << "call " << i;
+        std::this_thread::sleep_for(std::chrono::milliseconds{20});
+    }
+}
