--- a/tests/stalled_disk.hpp
+++ b/tests/stalled_disk.hpp
@@ -41,8 +41,8 @@
     /// @brief Waits while the file of a descriptor is a stalled log.
     static void wait(int descriptor) {
         std::error_code ignored;
-        const auto file = std::filesystem::read_symlink(
-            "/proc/self/fd/" + std::to_string(descriptor), ignored);
+        const auto file =
+            std::filesystem::read_symlink("/proc/self/fd/" + std::to_string(descriptor), ignored);
         std::unique_lock lock(shared().mutex);
         ++shared().waiting;
         shared().released.wait(lock, [&] { return shared().log.empty() || file != shared().log; });
--- a/tests/unit-consensus.cpp
+++ b/tests/unit-consensus.cpp
@@ -52,6 +52,17 @@
     return cluster.violations;
 }
 
+/// The group with one voter less, which learns from then on, or with one learner as a voter.
+group change_one_voter(group members, std::mt19937_64& random) {
+    auto& from = members.learners.empty() ? members.voters : members.learners;
+    auto& to = members.learners.empty() ? members.learners : members.voters;
+    const auto moved = from.begin() + static_cast<std::ptrdiff_t>(random() % from.size());
+    to.push_back(*moved);
+    from.erase(moved);
+    std::sort(to.begin(), to.end());
+    return members;
+}
+
 /// Applies one random action that restarts no replica.
 void apply_random_pause_or_message(consensus_cluster& cluster, std::mt19937_64& random) {
     const auto pick = random() % 100;
@@ -72,6 +83,9 @@
         cluster.paused.clear();
     } else if (pick < 94) {
         cluster.step(id, compacted{.index = cluster.at(id).commit, .data = "state"});
+    } else if (pick < 95) {
+        cluster.step(
+            id, propose_group{.next = change_one_voter(current_group(cluster.at(id)), random)});
     }
 }
 
