--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -15,7 +15,6 @@
 
 namespace asio = boost::asio;
 using runtime::now;
-using runtime::now_with_suspension;
 
 namespace {
 
@@ -35,9 +34,6 @@
 /// Time for which the expected number is used as the deployment's size: dispatchers that were
 /// frozen or partitioned off return or are replaced within it.
 constexpr duration expected_count_lifetime = std::chrono::seconds{5};
-/// Bounds of the time between two checks of the lease, which every answer checks besides.
-constexpr duration min_lease_check_delay = std::chrono::milliseconds{50};
-constexpr duration max_lease_check_delay = std::chrono::seconds{1};
 /// Number of peers named in each answer to an entry instance: enough for it to know a dozen of them
 /// after a second.
 constexpr std::size_t peers_per_update = 3;
@@ -170,65 +166,6 @@
     directory_->set_wanted(group_.leads && !shutting_down_);
 }
 
-bool control_instance::holds_lead() const {
-    return group_.leads && group_.is_current && now_with_suspension() < control_->lead_lease_end();
-}
-
-void control_instance::update_lead() {
-    if (holds_lead() == leads_) {
-        return;
-    }
-    leads_ = !leads_;
-    log_lease();
-    if (leads_) {
-        leads_since_ = now();
-        expected_dispatchers_ = 0;
-        if (list_.fingerprint != 0) {
-            grant_service_->set_servers(list_.servers);
-        }
-        return;
-    }
-    schedules_ = false;
-    // Dispatchers query another instance when the answer to their query is "not known".
-    grant_service_->clear_pending();
-}
-
-void control_instance::watch_lead() {
-    update_lead();
-    if (!group_.leads || shutting_down_) {
-        lease_timer_.cancel();
-        return;
-    }
-    const auto time = now_with_suspension();
-    const auto end = std::max(time, control_->lead_lease_end());
-    lease_timer_.expires_after(
-        std::clamp(end - time, min_lease_check_delay, max_lease_check_delay));
-    lease_timer_.async_wait([this](boost::system::error_code error) {
-        if (!error) {
-            watch_lead();
-        }
-    });
-}
-
-void control_instance::log_lease() {
-    const auto end = control_->lead_lease_end();
-    if (!group_.leads || end == time_point::min()) {
-        return; // the end of the lead is logged as a change of the group
-    }
-    const auto time = now_with_suspension();
-    if (!leads_) {
-        lost_lease_at_ = time;
-        telemetry::write(
-            telemetry::log_line("control_lease_lost")
-                .add("term", static_cast<std::int64_t>(group_.term.value))
-                .add("age_ms", to_milliseconds(time - end + control_->lead_lease_length())));
-    } else if (lost_lease_at_ != time_point{}) {
-        telemetry::write(telemetry::log_line("control_lease_regained")
-                             .add("term", static_cast<std::int64_t>(group_.term.value))
-                             .add("lost_ms", to_milliseconds(time - lost_lease_at_)));
-    }
-}
-
 void control_instance::on_servers(std::vector<config::server> servers) {
     auto fresh = make_server_list(std::move(servers), now());
     list_.read = fresh.read;
