--- a/include/tarragonspar/consensus/replica.hpp
+++ b/include/tarragonspar/consensus/replica.hpp
@@ -183,16 +183,16 @@
 
 [[nodiscard]] log_index last_index(const replica& source);
 
+/// @brief Whether an entry of the current term is committed. A new leader's state machine may lack
+/// accepted commands until then.
+[[nodiscard]] bool has_committed_in_term(const replica& source);
+
 /// @brief Whether the log holds an uncommitted change of the group.
 [[nodiscard]] bool is_changing_group(const replica& source);
 
 /// @brief Whether a learner has replicated all committed entries.
 [[nodiscard]] bool is_caught_up(const replica& source, replica_id learner);
 
-/// @brief Whether the newest committed entry is of the replica's own term. A leader has then
-/// applied everything that was accepted before its term.
-[[nodiscard]] bool has_committed_in_term(const replica& source);
-
 /// @brief Returns the time before which no other replica can have been elected, as far as a leader
 /// knows: voters that have heard of a leader vote for no other within `election_min`.
 ///
--- a/src/consensus/log_view.cpp
+++ b/src/consensus/log_view.cpp
@@ -24,10 +24,6 @@
     return found != source.followers.end() && found->second.match >= source.commit;
 }
 
-bool has_committed_in_term(const replica& source) {
-    return detail::term_at(source, source.commit) == source.term;
-}
-
 std::optional<time_point> lead_lease_end(const replica& source) {
     if (source.current != role::leader || !has_committed_in_term(source)) {
         return std::nullopt;
@@ -97,4 +93,8 @@
 
 } // namespace detail
 
+bool has_committed_in_term(const replica& source) {
+    return detail::term_at(source, source.commit) == source.term;
+}
+
 } // namespace tarragonspar::consensus
--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -244,6 +244,9 @@
     if (newest_.number > report->document) {
         update.document = newest_;
     }
+    if (leads_) {
+        update.newest = config::newest_document{.number = newest_.number};
+    }
     add_server_list(list_, *report, now(), update);
     reply({.known = true, .payload = pack(update)});
 }
