--- a/include/tarragonspar/runtime/control_service.hpp
+++ b/include/tarragonspar/runtime/control_service.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <deque>
 #include <functional>
 #include <map>
@@ -98,6 +99,13 @@
     /// @param done  receives nothing when it can't be proved now that the document is the newest
     void read_published(std::function<void(std::optional<config::document>)> done);
 
+    /// @brief When this instance's lead ends unless a majority confirms it again, by
+    /// `now_with_suspension`; can be called on any thread, and while the service's thread waits.
+    /// @return `time_point::min()` while the replica does not lead; see `consensus::lead_lease_end`
+    [[nodiscard]] time_point lead_lease_end() const;
+    /// @brief Length of a lease: since the last message that a majority has answered was sent.
+    [[nodiscard]] duration lead_lease_length() const;
+
     /// @brief Handles messages of another replica.
     void on_messages(const std::string& bytes);
 
@@ -147,6 +155,7 @@
     void compact_if_due();
     void request_join();
     void remove_absent_voter();
+    /// @brief Publishes the lease and reports the group where it has changed.
     void notify_group_change();
     void on_read_ready(const consensus::read_ready& ready);
     void read_locally(std::function<void(std::optional<config::document>)> done);
@@ -191,6 +200,7 @@
     group_listener on_group_;
     disk_listener on_disk_;
     group_view reported_;
+    std::atomic<time_point> lead_lease_end_{time_point::min()};
     bool configuration_requested_{false};
     time_point next_join_{};
     mutable std::mutex published_mutex_;
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -120,7 +120,16 @@
     });
 }
 
+void start_round(context& in) {
+    auto& rounds = in.self.rounds;
+    rounds.push_back({.number = ++in.self.round, .sent_at = in.now});
+    while (in.now - rounds.front().sent_at >= in.self.options.election_min) {
+        rounds.pop_front();
+    }
+}
+
 void broadcast(context& in) {
+    start_round(in);
     update_followers(in);
     for (auto& [id, progress] : in.self.followers) {
         send_entries(in, id, progress);
@@ -173,6 +182,7 @@
     in.self.current = role::leader;
     in.self.leader = in.self.self;
     in.self.followers.clear();
+    in.self.rounds.clear();
     in.effects.emplace_back(role_changed{.now = role::leader, .term = in.self.term});
     update_followers(in);
     append_as_leader(in, entry_kind::barrier, {});
@@ -241,9 +251,12 @@
            std::pair(*term_at(self, last), last);
 }
 
+/// Whether this replica leads or has heard of a leader within the shortest election timeout. That
+/// it knows of a newer term or of no leader since then does not matter: the leader can't know it.
 bool has_live_leader(const context& in) {
+    const auto has_heard = in.self.leader_last_seen != time_point{};
     return in.self.current == role::leader ||
-           (in.self.leader && in.now - in.self.leader_last_seen < in.self.options.election_min);
+           (has_heard && in.now - in.self.leader_last_seen < in.self.options.election_min);
 }
 
 void on_vote_request(context& in, const message& from, const vote_request& request) {
@@ -263,7 +276,7 @@
     const auto may_grant_vote =
         in.self.current == role::follower || in.self.current == role::pre_candidate;
     const auto granted = from.term == in.self.term && vote_available && may_grant_vote &&
-                         is_log_up_to_date(in.self, request);
+                         !has_live_leader(in) && is_log_up_to_date(in.self, request);
     if (granted && !in.self.voted_for) {
         in.self.current = role::follower;
         in.self.voted_for = from.from;
@@ -340,6 +353,11 @@
 void record_contact(context& in, follower_progress& progress, std::uint64_t round) {
     progress.last_seen = in.now;
     progress.acknowledged_round = std::max(progress.acknowledged_round, round);
+    const auto& rounds = in.self.rounds;
+    if (!rounds.empty() && round >= rounds.front().number && round <= rounds.back().number) {
+        progress.acknowledged_sent_at =
+            std::max(progress.acknowledged_sent_at, rounds[round - rounds.front().number].sent_at);
+    }
     answer_reads(in);
 }
 
@@ -537,10 +555,9 @@
         in.effects.emplace_back(read_ready{.token = request.token, .index = std::nullopt});
         return;
     }
-    ++in.self.round;
+    broadcast(in);
     in.self.reads.push_back(
         {.token = request.token, .round = in.self.round, .index = in.self.commit});
-    broadcast(in);
     answer_reads(in);
 }
 
--- a/src/runtime/control_group.cpp
+++ b/src/runtime/control_group.cpp
@@ -113,7 +113,7 @@
         if (found == replica_->followers.end()) {
             return;
         }
-        const auto since_contact = now() - found->second.last_seen;
+        const auto since_contact = now_with_suspension() - found->second.last_seen;
         if (since_contact > absent_voter_timeout && !absent) {
             absent = id;
         } else if (since_contact > max_contact_age) {
@@ -130,7 +130,18 @@
     step(consensus::propose_group{.token = ++next_token_, .next = std::move(next)});
 }
 
+time_point control_service::lead_lease_end() const {
+    return lead_lease_end_.load();
+}
+
+duration control_service::lead_lease_length() const {
+    return options_.consensus.election_min;
+}
+
 void control_service::notify_group_change() {
+    const auto lease_end =
+        replica_ && !failed_ ? consensus::lead_lease_end(*replica_) : std::nullopt;
+    lead_lease_end_.store(lease_end.value_or(time_point::min()));
     if (!on_group_ || !replica_) {
         return;
     }
