A restarted instance waits until a leader has confirmed its configuration

Callers saw: after all instances had been restarted, those that started first reported `ready`, refused a profile that had been added (400) and served one that had been deleted, by the configuration of the last

Cause: an instance counted as caught up once it had the newest revision that any reachable peer knew.

Why the fix works: the instance asks all control replicas for the configuration, and only a leader answers, after a linearizable read (it has committed in its term and a quorum has confirmed it). The instance serves once it has that revision in force. Without a leader it serves after 10 s by the newest configuration of its peers, and as before after 3 s without contact to any.

Test changed: Tls.CallersAndInstancesUseTls sent its request as soon as the peer was alive, before the instance reported `ready`; it got 503 `catching_up`. It now waits for `ready` first, with the same expectations of the answers.

--- a/include/tarragonspar/runtime/control_service.hpp
+++ b/include/tarragonspar/runtime/control_service.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <deque>
 #include <functional>
 #include <map>
@@ -83,6 +84,17 @@
     /// @param done  receives the reply, or nothing when it is unknown whether it was applied
     void submit(control::command command, std::function<void(std::optional<control::reply>)> done);
 
+    /// @brief Finds out, by a linearizable read through the group's leader, whether the
+    /// configuration in force here is the newest accepted one, and applies a newer one.
+    /// @param done  receives false when no leader has confirmed it in time; not called once the
+    /// service has been stopped
+    void confirm_configuration(std::function<void(bool)> done);
+
+    /// @brief Whether a leader has confirmed the configuration in force since the start.
+    [[nodiscard]] bool is_configuration_confirmed() const {
+        return is_confirmed_;
+    }
+
     /// @brief Sets the listeners; call it before `start`. They are called on the service's thread
     /// when a document comes into force here, when the leader or the group changes, and after
     /// each write to the disk.
@@ -110,6 +122,12 @@
     void with_status(std::function<void(std::string)> callback);
 
 private:
+    /// The newest accepted revision at a point of time, as stated by a leader.
+    struct newest_revision {
+        revision number;
+        time_point asked_at;
+    };
+
     struct waiting_proposal {
         consensus::term_number term;
         std::function<void(std::optional<control::reply>)> done;
@@ -159,6 +177,16 @@
     void submit_locally(std::string bytes, std::function<void(std::optional<std::string>)> done);
     void submit_to_leader(submission pending);
     void publish_configuration();
+    void answer_configuration_query(const std::string& payload,
+                                    std::function<void(wire::answer)> reply);
+    void try_confirm();
+    void ask_leader_for_configuration();
+    /// @brief Handles a leader's answer to a query that was sent at `asked_at`, when `known` was
+    /// the revision in force here.
+    void on_newest_configuration(const std::string& payload, revision known, time_point asked_at);
+    void on_newest_revision(revision newest, time_point asked_at);
+    void check_confirmation();
+    void end_confirmation(bool confirmed);
     void apply_configuration(const std::string& payload);
     void add_recent_change(const config::change& accepted, revision number);
     [[nodiscard]] std::string answer_configuration(const std::string& payload) const;
@@ -190,6 +218,12 @@
     disk_listener on_disk_;
     group_view reported_;
     bool configuration_requested_{false};
+    boost::asio::steady_timer confirm_timer_;
+    time_point confirm_deadline_{};
+    std::vector<std::function<void(bool)>> waiting_confirmations_;
+    std::optional<newest_revision> unapplied_newest_; ///< stated by a leader, not in force here yet
+    std::optional<time_point> confirmed_at_; ///< the configuration was then the newest accepted one
+    std::atomic<bool> is_confirmed_{false};
     time_point next_join_{};
     mutable std::mutex published_mutex_;
     std::shared_ptr<const config::state> published_;
--- a/include/tarragonspar/runtime/instance.hpp
+++ b/include/tarragonspar/runtime/instance.hpp
@@ -64,6 +64,8 @@
     void make_membership();
     void make_control();
     [[nodiscard]] bool is_caught_up();
+    /// @brief Asks for a confirmation of the configuration until the instance has caught up.
+    void confirm_until_caught_up();
     [[nodiscard]] std::shared_ptr<http::server> make_server();
     boost::asio::awaitable<void> handle(http::exchange& with);
     boost::asio::awaitable<std::string> describe_status();
--- a/src/runtime/control_commands.cpp
+++ b/src/runtime/control_commands.cpp
@@ -181,7 +181,7 @@
                                std::function<void(wire::answer)> reply) {
     asio::post(pool_, [self = shared_from_this(), about, payload, reply = std::move(reply)] {
         if (about == wire::topic::configuration) {
-            reply({.known = true, .payload = self->answer_configuration(payload)});
+            self->answer_configuration_query(payload, reply);
             return;
         }
         if (about == wire::topic::control_status) {
--- a/src/runtime/control_service.cpp
+++ b/src/runtime/control_service.cpp
@@ -42,7 +42,8 @@
 
 control_service::control_service(control_options options, wire::node& node, listener on_change)
     : options_(std::move(options)), node_(node), on_change_(std::move(on_change)),
-      tick_timer_(pool_), restart_timer_(pool_), random_(std::random_device{}()) {
+      tick_timer_(pool_), restart_timer_(pool_), random_(std::random_device{}()),
+      confirm_timer_(pool_) {
     auto first = std::make_shared<config::state>();
     first->current = options_.first;
     published_ = std::move(first);
@@ -104,6 +105,7 @@
         stopped_ = true;
         tick_timer_.cancel();
         restart_timer_.cancel();
+        confirm_timer_.cancel();
     });
     pool_.join();
 }
--- a/src/runtime/instance.cpp
+++ b/src/runtime/instance.cpp
@@ -22,6 +22,10 @@
 
 /// Time after which an instance without contact to any peer serves with its own configuration.
 constexpr duration solo_start_timeout = std::chrono::seconds{3};
+/// Time after which an instance in contact with peers, but not with a control leader, serves with
+/// the newest configuration of these peers. Several elections and the start of other processes take
+/// less.
+constexpr duration leaderless_start_timeout = std::chrono::seconds{10};
 
 /// Returns a number that is higher at every start of this process, unless the clock is set back by
 /// more than the time between two starts.
@@ -173,16 +177,30 @@
     if (caught_up_) {
         return true;
     }
+    if (control_->is_configuration_confirmed()) {
+        caught_up_ = true;
+        return true;
+    }
+    // What peers have in force may be old as well, since all may have restarted. It is used only in
+    // a domain without a leader.
     const auto own = control_->current()->current.number;
     const std::lock_guard lock(assignment_mutex_);
-    const auto timed_out = now() - started_at_ > solo_start_timeout;
-    if (peer_revisions_.empty() && !settings_.peers.empty() && !timed_out) {
-        return false;
+    const auto limit = peer_revisions_.empty() ? solo_start_timeout : leaderless_start_timeout;
+    const auto has_all_of_peers = std::all_of(peer_revisions_.begin(), peer_revisions_.end(),
+                                              [&](const auto& item) { return item.second <= own; });
+    const auto may_serve = now() - started_at_ > limit && has_all_of_peers;
+    if (may_serve) {
+        caught_up_ = true;
     }
-    const auto is_current = std::all_of(peer_revisions_.begin(), peer_revisions_.end(),
-                                        [&](const auto& item) { return item.second <= own; });
-    caught_up_ = is_current;
-    return is_current;
+    return may_serve;
+}
+
+void instance::confirm_until_caught_up() {
+    control_->confirm_configuration([this](bool confirmed) {
+        if (!confirmed && !is_caught_up()) {
+            confirm_until_caught_up();
+        }
+    });
 }
 
 std::shared_ptr<http::server> instance::make_server() {
@@ -213,6 +231,7 @@
     }
     owner_->start();
     members_->start();
+    confirm_until_caught_up();
     server_->start();
     for (std::uint32_t i = 0; i < settings_.threads; ++i) {
         threads_.emplace_back([this] { context_.run(); });
--- a/tests/unit-system-control.cpp
+++ b/tests/unit-system-control.cpp
@@ -1,6 +1,8 @@
 // Configuration and keys across complete instances: races, retries, restarts, lost disks,
 // partitions.
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 #include "system_fixture.hpp"
@@ -35,6 +37,29 @@
     return true;
 }
 
+std::string profile_deletion(const std::string& id, const std::string& name) {
+    return json{{"id", id}, {"author", "amal"}, {"delete_profile", name}}.dump();
+}
+
+/// Whether the instance at `index` considers all instances of `others` alive.
+bool is_in_contact(const deployment& d, std::size_t index, const std::vector<std::size_t>& others) {
+    const auto status = d.status(index);
+    if (!status.is_object()) {
+        return false;
+    }
+    return std::all_of(others.begin(), others.end(), [&](std::size_t other) {
+        const auto& members = status["members"];
+        return std::any_of(members.begin(), members.end(), [&](const json& member) {
+            return member["id"] == other + 1 && member["status"] == "alive";
+        });
+    });
+}
+
+caller_result complete(const deployment& d, std::size_t index, const std::string& profile) {
+    return call(d.port(index), "POST", "/v1/completions", completion_body(3),
+                {{"Tarragon-Profile", profile}});
+}
+
 const std::map<std::string, std::string> booking{{"Tarragon-Profile", "booking"},
                                                  {"Idempotency-Key", "k"}};
 
@@ -92,6 +117,52 @@
         << "an instance must not report ready before it has caught up";
 }
 
+// After a restart of all instances, those that started first served and refused callers by the
+// configuration of their last snapshot or their settings file.
+TEST(SystemControl, RestartedInstancesAnswerNoCallerByAnOldConfigurationBeforeALeaderExists) {
+    deployment d({"a", "b", "c", "c"}, 3);
+    auto& engine = d.add_server("c", "m", false);
+    d.start();
+    ASSERT_EQ(publish(d, 3, profile_change("c0", "new", 0)).status, 200U);
+    ASSERT_EQ(publish(d, 3, profile_deletion("c1", "fast")).status, 200U);
+    ASSERT_TRUE(wait_until([&] { return all_have(d, 4, 3); }));
+    for (std::size_t i = 0; i < 4; ++i) {
+        d.kill(i);
+    }
+    d.start(0);
+    d.start(3);
+    ASSERT_TRUE(wait_until([&] { return is_in_contact(d, 0, {3}) && is_in_contact(d, 3, {0}); }));
+    for (const std::size_t i : {0U, 3U}) {
+        EXPECT_EQ(call(d.port(i), "GET", "/health").status, 503U) << "instance " << i + 1;
+        EXPECT_EQ(complete(d, i, "new").status, 503U) << "refused by an old configuration";
+        EXPECT_EQ(complete(d, i, "fast").status, 503U) << "served by an old configuration";
+    }
+    EXPECT_TRUE(engine.runs().empty());
+    d.start(1);
+    d.start(2);
+    for (std::size_t i = 0; i < 4; ++i) {
+        ASSERT_TRUE(wait_until([&] { return call(d.port(i), "GET", "/health").status == 200; }));
+        EXPECT_EQ(d.revision_at(i), 3U);
+        EXPECT_EQ(complete(d, i, "fast").status, 400U);
+        EXPECT_TRUE(wait_until([&] { return complete(d, i, "new").status == 200; }));
+    }
+}
+
+// A domain without a leader would serve nobody after a restart if only a leader could confirm.
+TEST(SystemControl, RestartedInstanceServesWithoutALeaderByTheConfigurationOfItsPeers) {
+    deployment d({"a", "b", "b"}, 1);
+    d.add_server("b", "m", false);
+    d.start();
+    ASSERT_EQ(publish(d, 0, profile_change("c0", "new", 0)).status, 200U);
+    ASSERT_TRUE(wait_until([&] { return all_have(d, 3, 2); }));
+    d.kill(0);
+    d.kill(1);
+    d.start(1);
+    ASSERT_TRUE(wait_until([&] { return call(d.port(1), "GET", "/health").status == 200; }));
+    EXPECT_EQ(d.revision_at(1), 2U);
+    EXPECT_TRUE(wait_until([&] { return complete(d, 1, "new").status == 200; }));
+}
+
 TEST(SystemControl, GroupSurvivesSecondLossAfterReplicaLostItsDisk) {
     deployment d({"a", "b", "c"}, 3);
     d.start();
--- a/tests/unit-tls.cpp
+++ b/tests/unit-tls.cpp
@@ -122,6 +122,7 @@
     pair.start(1, "");
     ASSERT_TRUE(
         wait_until([&] { return is_peer_alive(pair.call_securely(0, "/admin/status", "")); }));
+    ASSERT_TRUE(wait_until([&] { return pair.call_securely(0, "/health", "").first == 200; }));
     const auto answer = pair.call_securely(0, "/v1/completions", completion_body(5));
     EXPECT_EQ(answer.first, 200U) << answer.second;
     EXPECT_EQ(call(pair.http_port(0), "GET", "/health").status, 0U) << "plain HTTP is refused";
