A profile counts as unknown only by a configuration that a leader has confirmed

Callers saw: an instance that ran on without contact to the control group answered 400 "no profile is named …", a final refusal, for a profile that the accepted configuration had.

Cause: the caller API refused by whatever configuration was in force, however old. An instance may have missed the last change, or have started in a domain without a leader.

Evidence: the new test on the code before this change, instance 4 cut off, then the profile added: unit-system-control.cpp:176: wait_until([&] { return complete(d, 3, "new").status != 400; }) is false unit-system-control.cpp:178: refused.status is 400, expected 503

Why the fix works: before it refuses, the instance asks the leader for the newest configuration, by the linearizable read that a restarted instance uses, applies it, and looks again. If no leader answers within a second, the request is refused with 503 `catching_up`, not executed. Served requests don't wait for it.

--- a/include/tarragonspar/runtime/caller_api.hpp
+++ b/include/tarragonspar/runtime/caller_api.hpp
@@ -5,6 +5,7 @@
 
 #include "tarragonspar/http/completion_api.hpp"
 #include "tarragonspar/http/exchange.hpp"
+#include "tarragonspar/runtime/control_service.hpp"
 #include "tarragonspar/runtime/coordinator.hpp"
 #include "tarragonspar/runtime/keyed_requests.hpp"
 #include "tarragonspar/runtime/snapshot.hpp"
@@ -15,7 +16,7 @@
 class caller_api {
 public:
     caller_api(std::shared_ptr<coordinator> requests, std::shared_ptr<keyed_requests> keyed,
-               const snapshot_cell& snapshots);
+               std::shared_ptr<control_service> control, const snapshot_cell& snapshots);
 
     /// @brief Handles a request if its path belongs to the callers' API.
     /// @return false when it does not
@@ -28,13 +29,18 @@
 
 private:
     struct caller_choice {
+        std::shared_ptr<const snapshot> current; ///< owns `profile`
         const config::profile* profile{};
         std::string workspace;
         std::string error;
+        /// The request names a profile that the configuration in force lacks.
+        bool unknown_profile{false};
+        bool unconfirmed{false}; ///< a newer configuration may have this profile
     };
 
-    [[nodiscard]] caller_choice read_choice(const http::exchange& with,
-                                            const snapshot& current) const;
+    [[nodiscard]] caller_choice read_choice(const http::exchange& with) const;
+    /// @brief Reads the choice; finds an unknown profile unknown only by a confirmed configuration.
+    boost::asio::awaitable<caller_choice> confirm_choice(http::exchange& with);
     [[nodiscard]] work_item make_work(const caller_choice& choice) const;
     boost::asio::awaitable<void> handle_completion(http::exchange& with, bool chat);
     boost::asio::awaitable<void> stream_answer(http::exchange& with,
@@ -56,6 +62,7 @@
 
     std::shared_ptr<coordinator> requests_;
     std::shared_ptr<keyed_requests> keyed_;
+    std::shared_ptr<control_service> control_;
     const snapshot_cell& snapshots_;
     std::atomic<bool> stopping_{false};
 };
--- a/src/runtime/caller_api.cpp
+++ b/src/runtime/caller_api.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "tarragonspar/runtime/await_reply.hpp"
 #include "tarragonspar/runtime/clock.hpp"
 
 namespace tarragonspar::runtime {
@@ -35,10 +36,9 @@
     return {std::string(target.substr(0, slash)), std::string(target.substr(slash))};
 }
 
-http::reply unavailable() {
-    const answer_finished refused{.result = outcome::not_executed,
-                                  .why = reason::shutting_down,
-                                  .retry_after = std::chrono::seconds{1}};
+http::reply unavailable(reason why) {
+    const answer_finished refused{
+        .result = outcome::not_executed, .why = why, .retry_after = std::chrono::seconds{1}};
     return http::format_problem("", refused);
 }
 
@@ -60,8 +60,9 @@
 } // namespace
 
 caller_api::caller_api(std::shared_ptr<coordinator> requests, std::shared_ptr<keyed_requests> keyed,
-                       const snapshot_cell& snapshots)
-    : requests_(std::move(requests)), keyed_(std::move(keyed)), snapshots_(snapshots) {}
+                       std::shared_ptr<control_service> control, const snapshot_cell& snapshots)
+    : requests_(std::move(requests)), keyed_(std::move(keyed)), control_(std::move(control)),
+      snapshots_(snapshots) {}
 
 asio::awaitable<bool> caller_api::handle(http::exchange& with) {
     const auto target = path_of(with);
@@ -92,16 +93,17 @@
     co_return true;
 }
 
-caller_api::caller_choice caller_api::read_choice(const http::exchange& with,
-                                                  const snapshot& current) const {
+caller_api::caller_choice caller_api::read_choice(const http::exchange& with) const {
     caller_choice choice;
+    choice.current = snapshots_.load();
     const auto name = with.header(http::profile_header);
     if (name.empty()) {
         choice.error = std::string("the header ") + http::profile_header + " must name a profile";
         return choice;
     }
-    choice.profile = find_profile(current, name);
+    choice.profile = find_profile(*choice.current, name);
     if (choice.profile == nullptr) {
+        choice.unknown_profile = true;
         choice.error = "no profile is named " + name;
     }
     choice.workspace = with.header(http::workspace_header);
@@ -111,6 +113,21 @@
     return choice;
 }
 
+asio::awaitable<caller_api::caller_choice> caller_api::confirm_choice(http::exchange& with) {
+    auto choice = read_choice(with);
+    if (!choice.unknown_profile) {
+        co_return choice;
+    }
+    // A final refusal must not be based on a configuration that may have been replaced.
+    std::function<void(std::function<void(bool)>)> start = [control = control_](auto done) {
+        control->confirm_configuration(std::move(done));
+    };
+    const bool confirmed = co_await await_reply<bool>(std::move(start));
+    choice = read_choice(with);
+    choice.unconfirmed = choice.unknown_profile && !confirmed;
+    co_return choice;
+}
+
 work_item caller_api::make_work(const caller_choice& choice) const {
     work_item work;
     work.id = requests_->next_id();
@@ -131,12 +148,15 @@
 }
 
 asio::awaitable<void> caller_api::handle_completion(http::exchange& with, bool chat) {
+    const auto choice = co_await confirm_choice(with);
     if (stopping_) {
-        co_await with.respond(unavailable());
+        co_await with.respond(unavailable(reason::shutting_down));
+        co_return;
+    }
+    if (choice.unconfirmed) {
+        co_await with.respond(unavailable(reason::catching_up));
         co_return;
     }
-    const auto current = snapshots_.load();
-    const auto choice = read_choice(with, *current);
     auto parsed = http::parse_completion(with.request().body(), chat);
     auto error = choice.error;
     if (error.empty() && std::holds_alternative<std::string>(parsed)) {
@@ -261,12 +281,15 @@
 }
 
 asio::awaitable<void> caller_api::call_service(http::exchange& with, std::string target) {
+    const auto choice = co_await confirm_choice(with);
     if (stopping_) {
-        co_await with.respond(unavailable());
+        co_await with.respond(unavailable(reason::shutting_down));
+        co_return;
+    }
+    if (choice.unconfirmed) {
+        co_await with.respond(unavailable(reason::catching_up));
         co_return;
     }
-    const auto current = snapshots_.load();
-    const auto choice = read_choice(with, *current);
     if (!choice.error.empty()) {
         co_await with.respond(http::format_rejection(400, choice.error));
         co_return;
--- a/src/runtime/instance.cpp
+++ b/src/runtime/instance.cpp
@@ -100,7 +100,7 @@
     }
     operator_api_ =
         std::make_unique<operator_api>(*control_, settings_.operator_tokens, std::move(callbacks));
-    caller_api_ = std::make_unique<caller_api>(requests_, keyed_, snapshots_);
+    caller_api_ = std::make_unique<caller_api>(requests_, keyed_, control_, snapshots_);
 }
 
 void instance::make_requests() {
--- a/tests/unit-system-control.cpp
+++ b/tests/unit-system-control.cpp
@@ -163,6 +163,25 @@
     EXPECT_TRUE(wait_until([&] { return complete(d, 1, "new").status == 200; }));
 }
 
+// An instance that had missed a change gave callers a final refusal by its own configuration.
+TEST(SystemControl, CutOffInstanceGivesNoFinalRefusalByItsOwnConfiguration) {
+    deployment d({"a", "b", "c", "c"}, 3);
+    d.add_server("c", "m", false);
+    d.start();
+    EXPECT_EQ(complete(d, 3, "new").status, 400U) << "no revision has this profile";
+    d.partition({{0, 1, 2}, {3}});
+    ASSERT_EQ(publish(d, 0, profile_change("c0", "new", 0)).status, 200U);
+    // Also after the time for which a confirmation counts.
+    EXPECT_TRUE(wait_until([&] { return complete(d, 3, "new").status != 400; }));
+    const auto refused = complete(d, 3, "new");
+    EXPECT_EQ(refused.status, 503U) << refused.body;
+    EXPECT_EQ(refused.outcome, "not_executed") << refused.body;
+    EXPECT_TRUE(wait_until([&] { return complete(d, 3, "fast").status == 200; }))
+        << "it serves what its configuration allows";
+    d.partition({{0, 1, 2, 3}});
+    EXPECT_TRUE(wait_until([&] { return complete(d, 3, "new").status == 200; }));
+}
+
 TEST(SystemControl, GroupSurvivesSecondLossAfterReplicaLostItsDisk) {
     deployment d({"a", "b", "c"}, 3);
     d.start();
