A replica of the product's own interface restarts from its files after its disk failed

Callers saw: after a disk of a control replica had been full for a moment, that replica took no part in the group until its process was started again, so that one more loss left no majority: changes of the configuration were not acknowledged and callers' own keys were refused.

Cause: `fail` set the timer of the restart for open groups only, and not before the replica had an identity.

Evidence: the new tests on the code before this change: unit-control_service.cpp:108: wait_until([&] { return accepted == 21; }) is false, one line control_disk_failed and no control_replica_started after it (the replica alone in its group) unit-system-control.cpp:197: publish(d, remaining, …"c1"…) is never 200 (three replicas, the leader's disk full, then another replica stopped)

The recent changes kept for peers are cleared, since the log adds them again: with the restart alone a peer that asked for the changes after 18 got 5 of them instead of 3 (unit-control_service.cpp:121).

--- a/src/runtime/control_service.cpp
+++ b/src/runtime/control_service.cpp
@@ -199,11 +199,11 @@
         }
         std::sort(voters.begin(), voters.end());
     }
+    recent_changes_.clear(); // those after the snapshot are applied again
     if (stored.snapshot_data.empty()) {
         // Every founding replica starts from the same settings and discards what peers have sent
         // before: a change whose answer is already known would not be applied.
         state_ = {};
-        recent_changes_.clear();
         state_.configuration.current = options_.first;
         state_.configuration.current.number = {
             std::max<std::uint64_t>(1, options_.first.number.value)};
@@ -425,9 +425,6 @@
     fail_waiting_proposals();
     fail_pending_operations();
     notify_group_change();
-    if (!options_.open_group || !disk_) {
-        return;
-    }
     // The state in memory may be ahead of the disk, so the replica restarts from its files.
     restart_timer_.expires_after(disk_retry_delay);
     restart_timer_.async_wait([self = weak_from_this()](boost::system::error_code error) {
@@ -436,7 +433,11 @@
             service->store_.reset();
             service->replica_.reset();
             service->failed_ = false;
-            service->start_replica(*service->disk_, false);
+            if (service->disk_) {
+                service->start_replica(*service->disk_, false);
+            } else {
+                service->find_identity();
+            }
         }
     });
 }
--- a/tests/system_fixture.hpp
+++ b/tests/system_fixture.hpp
@@ -237,7 +237,7 @@
         own.test_hooks = true;
         own.shutdown_notice = std::chrono::milliseconds{50};
         if (own.control && replicas_ > 1) {
-            own.data_folder = folder_ + "/data-" + std::to_string(index);
+            own.data_folder = data_folder(index);
         }
         own.configuration = configuration_;
         for (std::size_t i = 0; i < domains_.size(); ++i) {
@@ -269,7 +269,11 @@
     }
 
     void wipe_disk(std::size_t index) {
-        std::filesystem::remove_all(folder_ + "/data-" + std::to_string(index));
+        std::filesystem::remove_all(data_folder(index));
+    }
+
+    [[nodiscard]] std::string data_folder(std::size_t index) const {
+        return folder_ + "/data-" + std::to_string(index);
     }
 
     [[nodiscard]] std::uint16_t port(std::size_t index) const {
--- a/tests/unit-control_service.cpp
+++ b/tests/unit-control_service.cpp
@@ -64,3 +64,62 @@
     node.stop();
     std::filesystem::remove_all(folder);
 }
+
+// The replica of a closed group stayed out after its disk had failed. While it replays its log, the
+// configuration in force must not step back to its snapshot.
+TEST(ControlService, ClosedGroupRestartsFromItsFilesAfterDiskFailure) {
+    const auto folder =
+        std::filesystem::temp_directory_path() / ("tarragon-closed-" + std::to_string(::getpid()));
+    no_queries message_handler;
+    wire::node node({.self = {1}, .listen = {.address = "127.0.0.1", .port = free_port()}},
+                    message_handler);
+    ASSERT_EQ(node.start(), "");
+    runtime::control_options options;
+    options.self = {1};
+    options.replica = true;
+    options.data_folder = folder.string();
+    options.compact_after = 8;
+    std::atomic<std::uint64_t> in_force{0};
+    std::atomic<bool> stepped_back{false};
+    const auto service = std::make_shared<control_service>(
+        options, node, [&](const std::shared_ptr<const config::state>& state) {
+            const auto number = state->current.number.value;
+            stepped_back = stepped_back || number < in_force;
+            in_force = number;
+        });
+    ASSERT_EQ(service->start(), "");
+    std::atomic<std::uint64_t> accepted{1};
+    const auto change = [&](std::uint64_t number) {
+        config::change item{.id = std::to_string(number), .author = "amal"};
+        item.what = config::put_profile{
+            {.name = "p" + std::to_string(number), .deadline = std::chrono::seconds{9}}};
+        service->submit(std::move(item), [&](const std::optional<control::reply>& reply) {
+            if (reply) {
+                accepted = std::get<config::change_answer>(*reply).number.value;
+            }
+        });
+    };
+    for (std::uint64_t number = 2; number <= 20; ++number) {
+        change(number);
+        ASSERT_TRUE(wait_until([&] { return accepted == number; }));
+        if (number == 12) { // the replica restarts from a snapshot and the entries after it
+            ASSERT_TRUE(wait_until([&] { return std::filesystem::exists(folder / "snapshot"); }));
+        }
+    }
+    fill_open_log(folder);
+    change(21);
+    EXPECT_TRUE(wait_until([&] { return accepted == 21; }));
+    EXPECT_FALSE(stepped_back);
+    EXPECT_EQ(service->current()->current.number.value, 21U);
+    // Changes that were replayed must not be sent twice to a peer that catches up.
+    std::atomic<std::size_t> sent{0};
+    service->on_query(wire::topic::configuration, R"({"after":18})",
+                      [&](const wire::answer& answer) {
+                          sent = nlohmann::json::parse(answer.payload).at("changes").size();
+                      });
+    EXPECT_TRUE(wait_until([&] { return sent > 0; }));
+    EXPECT_EQ(sent, 3U);
+    service->stop();
+    node.stop();
+    std::filesystem::remove_all(folder);
+}
--- a/tests/unit-system-control.cpp
+++ b/tests/unit-system-control.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include "full_disk.hpp"
 #include "system_fixture.hpp"
 
 namespace {
@@ -182,6 +183,24 @@
     EXPECT_TRUE(wait_until([&] { return complete(d, 3, "new").status == 200; }));
 }
 
+// The replica of a closed group stayed out after its disk had failed, so that another loss left no
+// majority.
+TEST(SystemControl, ReplicaRejoinsAfterItsDiskWasFull) {
+    deployment d({"a", "b", "c"}, 3);
+    d.start();
+    const auto leader = d.status(0)["control"]["leader"].get<std::size_t>() - 1;
+    const auto stopped = (leader + 1) % 3;
+    const auto remaining = (leader + 2) % 3;
+    fill_open_log(d.data_folder(leader));
+    ASSERT_TRUE(wait_until(
+        [&] { return publish(d, remaining, profile_change("c0", "p", 1)).status == 200; }));
+    d.kill(stopped);
+    EXPECT_TRUE(wait_until(
+        [&] { return publish(d, remaining, profile_change("c1", "p", 2)).status == 200; }));
+    EXPECT_TRUE(
+        wait_until([&] { return d.revision_at(leader) == 3 && d.revision_at(remaining) == 3; }));
+}
+
 TEST(SystemControl, GroupSurvivesSecondLossAfterReplicaLostItsDisk) {
     deployment d({"a", "b", "c"}, 3);
     d.start();
