Tests of faulty servers: what can't happen here

A table of cases plays on one deployment; each has a service with two servers of its own, so that breakers and allowances of one case don't touch another. For that the fixture may list one server under several names.

--- a/tests/deployment_fixture.hpp
+++ b/tests/deployment_fixture.hpp
@@ -167,10 +167,11 @@
         std::filesystem::remove_all(folder_, ignored);
     }
 
+    /// @param name  listed instead of the server's own name, so that one may stand for several
     void add_server(const scripted_server& server, const std::string& service,
-                    const std::string& state = "ready") {
+                    const std::string& state = "ready", const std::string& name = {}) {
         const std::lock_guard lock(mutex_);
-        listed_.push_back({{"id", server.name()},
+        listed_.push_back({{"id", name.empty() ? server.name() : name},
                            {"service", service},
                            {"address", server.address()},
                            {"zone", "a"},
--- /dev/null
+++ b/tests/unit-deployment_faulty_server.cpp
@@ -0,0 +1,385 @@
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "deployment_parts.hpp"
+#include "tarragonspar/http/engine_client.hpp"
+
+// Servers that break the protocol. A caller must get no false promise, no foreign bytes, and no
+// answer that ended early but looks complete.
+
+namespace {
+
+using namespace tarragonspar;
+using namespace tarragonspar::testing;
+
+/// The header by which an answer names the request of these tests.
+const std::string own = "Attempt-Id: a1\r\n";
+const std::string another = "Attempt-Id: another\r\n";
+const std::string declined = "Not-Executed: 1\r\n";
+const std::string interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n";
+constexpr int last_piece = 4; ///< of each stream
+
+std::string answer(const std::string& status, const std::string& headers,
+                   const std::string& body = "error text") {
+    return "HTTP/1.1 " + status + "\r\n" + headers +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string pieces(int from, int to) {
+    std::string out;
+    for (int id = from; id <= to; ++id) {
+        out += event_text(id);
+    }
+    return out;
+}
+
+/// Returns the beginning of an event stream.
+std::string stream(const std::string& events, const std::string& name = own) {
+    return "HTTP/1.1 200 OK\r\n" + name + "Response-Signature: s\r\n" +
+           "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" +
+           (events.empty() ? "" : chunk(events));
+}
+
+const std::string last_chunk = "0\r\n\r\n";
+
+/// What a server writes before it ends the connection.
+struct server_answer {
+    std::string what;
+    std::string bytes;
+    bool ends_with_reset{false};
+    int continues_to{0}; ///< if not 0: writes the pieces that follow, up to this one
+};
+
+void write_answer(server_answer answer, const received_request& to,
+                  asio::ip::tcp::socket& socket) {
+    if (answer.continues_to > 0) {
+        const auto after = to.headers.find("Last-Event-Id");
+        const auto from = after == to.headers.end() ? 1 : std::stoi(after->second) + 1;
+        answer.bytes = stream(pieces(from, answer.continues_to)) + last_chunk;
+    }
+    write_raw(socket, answer.bytes);
+    if (answer.ends_with_reset) {
+        reset(socket);
+    }
+}
+
+/// One request to a route of the given kind.
+struct fault_case {
+    std::string kind;
+    server_answer first; ///< of the server that gets the request first
+    server_answer next;  ///< of any later one
+    int resumes_after{0}; ///< id of the event after which the caller resumes; 0: none
+};
+
+/// Plays each case at a service with two servers of its own, so that cases don't affect each other.
+class fault_table {
+public:
+    explicit fault_table(std::vector<fault_case> cases)
+        : cases_(std::move(cases)), arrivals_(cases_.size()),
+          server_("i", [this](const received_request& request, asio::ip::tcp::socket& socket) {
+              const auto index = std::stoul(request.start.substr(request.start.find("/c") + 2));
+              const auto is_first = arrivals_[index]++ == 0;
+              write_answer(is_first ? cases_[index].first : cases_[index].next, request, socket);
+          }) {
+        auto manifest = nlohmann::json::parse(make_manifest(1));
+        std::map<std::string, nlohmann::json> routes;
+        for (const auto& route : manifest["routes"]) {
+            routes[route["name"]] = route;
+        }
+        for (std::size_t i = 0; i < cases_.size(); ++i) {
+            const auto service = "s" + std::to_string(i);
+            auto& route = manifest["routes"].emplace_back(routes.at(cases_[i].kind));
+            route["name"] = "c" + std::to_string(i);
+            route["path_prefix"] = "/c" + std::to_string(i) + "/";
+            route["service"] = service;
+            manifest["services"].push_back({{"name", service}, {"max_connections", 50}});
+            deployment_.add_server(server_, service, "ready", service + "-a");
+            deployment_.add_server(server_, service, "ready", service + "-b");
+        }
+        deployment_.start_with(manifest.dump());
+    }
+
+    [[nodiscard]] platform_deployment::answer play(std::size_t index) const {
+        std::map<std::string, std::string> headers;
+        if (cases_[index].resumes_after > 0) {
+            headers.emplace("Last-Event-Id", std::to_string(cases_[index].resumes_after));
+        }
+        return deployment_.call_with_headers("POST", "/c" + std::to_string(index) + "/x", "b",
+                                             headers);
+    }
+    [[nodiscard]] int arrivals(std::size_t index) const {
+        return arrivals_[index];
+    }
+
+private:
+    std::vector<fault_case> cases_;
+    std::vector<std::atomic<int>> arrivals_;
+    scripted_server server_;
+    platform_deployment deployment_;
+};
+
+struct row {
+    server_answer first;
+    std::string result; ///< status and body that the caller gets, requests that servers got
+};
+
+void expect_results(const std::vector<std::string>& kinds, const std::vector<row>& rows) {
+    std::vector<fault_case> cases;
+    for (const auto& row : rows) {
+        for (const auto& kind : kinds) {
+            cases.push_back({kind, row.first, {"", answer("200 OK", own, "second")}});
+        }
+    }
+    const fault_table table(cases);
+    for (std::size_t i = 0; i < cases.size(); ++i) {
+        const auto got = table.play(i);
+        const auto body = got.status == 200 ? " " + got.body : "";
+        EXPECT_EQ(std::to_string(got.status) + body + ", " + std::to_string(table.arrivals(i)),
+                  rows[i / kinds.size()].result)
+            << cases[i].kind << ", " << cases[i].first.what;
+    }
+}
+
+} // namespace
+
+// Only an answer that names the request and states that it was not run may be passed on as a
+// promise or lead to a second run.
+TEST(FaultyServer, OnlyAStatementAboutThisRequestIsAPromise) {
+    const auto first = answer("200 OK", own, "first");
+    const auto refusal = answer("503 Busy", own + declined, "");
+    const std::vector<row> rows{
+        {{"declined", refusal}, "200 second, 2"},
+        {{"misdirected", answer("421 Wrong", own)}, "200 second, 2"},
+        {{"cut refusal", "HTTP/1.1 503 Busy\r\n" + own + declined}, "502, 1"},
+        {{"names another", answer("503 Busy", another + declined)}, "502, 1"},
+        {{"names another, 421", answer("421 Wrong", another)}, "502, 1"},
+        {{"names another after interim answers",
+          interim + "\r\n" + answer("503 Busy", another + declined)},
+         "502, 1"},
+        {{"names another before the answer", answer("503 Busy", another + declined, "") + first},
+         "502, 1"},
+        {{"in an interim answer", interim + own + declined + "\r\n" + first}, "200 first, 1"},
+        {{"after the answer", first + refusal}, "200 first, 1"},
+    };
+    expect_results({"unsafe", "once"}, rows);
+}
+
+namespace {
+
+/// Returns streams of pieces `base` + 1 to `base` + `last_piece` that break off.
+std::vector<server_answer> broken_streams(int base) {
+    const auto two = pieces(base + 1, base + 2);
+    return {
+        {"no head", ""},
+        {"no event", stream("")},
+        {"two events", stream(two)},
+        {"reset", stream(two), true},
+        {"in an event", stream(two + "id: " + std::to_string(base + 3) + "\nda")},
+        {"in a chunk's header", stream(two) + "1"},
+        {"no last chunk", stream(pieces(base + 1, base + last_piece))},
+        {"a refusal for a chunk", stream(two) + answer("503 Busy", own + declined)},
+        {"no length, in an event", "HTTP/1.1 200 OK\r\n" + own +
+                                       "Content-Type: text/event-stream\r\n\r\n" + two + "data: h"},
+    };
+}
+
+/// Returns the answers of a second server; the first two are correct.
+std::vector<server_answer> next_answers(int base) {
+    return {
+        {"continues", "", false, base + last_piece},
+        {"starts again", stream(pieces(1, base + last_piece)) + last_chunk},
+        {"404", answer("404 Unknown", own)},
+        {"421", answer("421 Wrong", own + declined)},
+        {"429", answer("429 Slow", own)},
+        {"500", answer("500 Failed", own)},
+        {"500 as a stream", answer("500 Failed", own + "Content-Type: text/event-stream\r\n")},
+        {"503", answer("503 Busy", own)},
+        {"503, declined", answer("503 Busy", own + declined)},
+        {"204", "HTTP/1.1 204 None\r\n" + own + "\r\n"},
+        {"200 of another type", answer("200 OK", own + "Content-Type: text/plain\r\n")},
+        {"nothing", ""},
+        {"no head", "data: error text\n\n"},
+        {"cut head", "HTTP/1.1 200 OK\r\n" + own},
+        {"another's stream", stream(pieces(1, base + last_piece), another) + last_chunk},
+    };
+}
+
+/// Checks what a caller got against the whole stream.
+void expect_no_false_stream(const platform_deployment::answer& got, const fault_case& played,
+                            int arrivals) {
+    const auto what = played.kind + " after " + std::to_string(played.resumes_after) + ", " +
+                      played.first.what + ", then " + played.next.what + ": " +
+                      std::to_string(got.status) + " " + got.body;
+    const auto base = played.resumes_after;
+    const auto full = pieces(base + 1, base + last_piece);
+    const auto joins = played.kind == "resumable";
+    const auto has_begun = played.first.what != "no head" && played.first.what != "no event";
+    const auto repeats = joins || (!has_begun && played.kind == "safe");
+    EXPECT_LE(arrivals, joins ? 3 : repeats ? 2 : 1) << what;
+    if (repeats && (played.next.what == "continues" || played.next.what == "starts again")) {
+        EXPECT_TRUE(got.complete && got.body == full) << what;
+    } else if (has_begun || (base > 0 && got.status == 200 && played.next.what[0] != '2')) {
+        EXPECT_TRUE(full.starts_with(got.body)) << what;
+        EXPECT_EQ(got.status, 200U) << what;
+        EXPECT_TRUE(!got.complete || (joins && got.body == full)) << "looks complete: " << what;
+    }
+}
+
+} // namespace
+
+// Whatever the second server answers, the caller gets the rest of the stream or sees that it broke.
+TEST(FaultyServer, ABrokenStreamIsContinuedByItsOwnPiecesOrAborted) {
+    std::vector<fault_case> cases;
+    for (const auto& [kind, base] : std::vector<std::pair<std::string, int>>{
+             {"resumable", 0}, {"unsafe", 0}, {"once", 0}}) {
+        auto answers = next_answers(base);
+        answers.resize(kind == "resumable" ? answers.size() : 2);
+        for (const auto& first : broken_streams(base)) {
+            for (const auto& next : answers) {
+                cases.push_back({kind, first, next, base});
+            }
+        }
+    }
+    const fault_table table(cases);
+    for (std::size_t i = 0; i < cases.size(); ++i) {
+        const auto got = table.play(i);
+        expect_no_false_stream(got, cases[i], table.arrivals(i));
+    }
+}
+
+// An answer without a length may end with its connection, but not inside its head or by a reset.
+TEST(FaultyServer, AnAnswerCutAtAnyByteIsNotForwarded) {
+    const std::string ok = "HTTP/1.1 200 OK\r\n" + own;
+    std::vector<row> rows{{{"no length", ok + "\r\n12"}, "200 12, 1"},
+                          {{"no length, reset", ok + "\r\n12", true}, "502, 1"}};
+    for (const auto& [whole, body] : std::vector<std::pair<std::string, std::string>>{
+             {answer("200 OK", own, "123456789012"), "123456789012"},
+             {interim + "\r\n" + answer("200 OK", own, ""), ""},
+             {"HTTP/1.0 200 OK\r\nConnection: close\r\n" + own + "Content-Length: 1\r\n\r\n1", "1"},
+             {ok + "X-Folded: a\r\n b\r\nContent-Length: 1\r\n\r\n1", "1"},
+             {ok + "Transfer-Encoding: chunked\r\n\r\n1;x=y\r\n1\r\n0\r\nX-Last: 1\r\n\r\n", "1"},
+             {ok + "\r\n", ""}}) {
+        rows.push_back({{whole, whole}, "200 " + body + ", 1"});
+        for (std::size_t size = 0; size < whole.size(); ++size) {
+            const auto cut = whole.substr(0, size);
+            rows.push_back({{cut, cut}, "502, 1"});
+            rows.push_back({{cut + " (reset)", cut, true}, "502, 1"});
+        }
+    }
+    expect_results({"unsafe"}, rows);
+}
+
+TEST(FaultyServer, AnAnswerWhoseEndIsAmbiguousIsNotForwarded) {
+    std::vector<row> rows;
+    for (const std::string lines :
+         {"Content-Length: 1\r\nContent-Length: 2\r\n", "Content-Length: 1, 2\r\n",
+          "Content-Length: 1x\r\n", "Content-Length: \r\n",
+          "Content-Length: 18446744073709551617\r\n",
+          "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n"}) {
+        auto bytes = "HTTP/1.1 200 OK\r\n" + own;
+        bytes.append(lines).append("\r\n1\r\na\r\n").append(last_chunk);
+        rows.push_back({{lines, bytes}, "502, 1"});
+    }
+    expect_results({"unsafe"}, rows);
+}
+
+namespace {
+
+/// Calls a server of the product's own protocol and returns what its caller gets.
+/// @param resumption  bytes by which it answers when the stream is resumed
+std::string call_engine(const std::string& bytes, bool plain, const std::string& resumption = "") {
+    const scripted_server server(
+        "i", [&](const received_request& request, asio::ip::tcp::socket& socket) {
+            const auto resumes = request.start.starts_with("GET /v1/streams/");
+            write_raw(socket, resumes ? resumption : bytes);
+        });
+    std::string out;
+    http::upstream_callbacks callbacks;
+    callbacks.acquire_right = []() -> asio::awaitable<bool> { co_return true; };
+    callbacks.deliver = [&](dispatch::answer_event event) -> asio::awaitable<bool> {
+        if (const auto* start = std::get_if<dispatch::answer_started>(&event)) {
+            out = std::to_string(start->status) + " ";
+        } else if (const auto* piece = std::get_if<dispatch::answer_piece>(&event)) {
+            out += piece->text;
+        } else {
+            const auto& last = std::get<dispatch::answer_finished>(event);
+            out += last.result == outcome::answered ? ", complete" : ", unknown";
+        }
+        co_return true;
+    };
+    http::upstream_request request;
+    request.id = {.issuer = {1}, .issued_in = {1}, .sequence = 1};
+    request.address = server.address();
+    request.call.method = "POST";
+    request.call.target = "/";
+    request.call.plain = plain;
+    asio::io_context context;
+    asio::co_spawn(context,
+                   http::run_upstream_request({.max_resumptions = 1}, std::move(request),
+                                              std::move(callbacks)),
+                   asio::detached);
+    context.run();
+    return out;
+}
+
+std::string token(int offset, bool done = false, unsigned sequence = 1) {
+    const request_id id{.issuer = {1}, .issued_in = {1}, .sequence = sequence};
+    nlohmann::json data{{"id", to_string(id)}, {"offset", offset}, {"done", done}};
+    if (!done) {
+        data["tokens"] = 1;
+        data["text"] = "t" + std::to_string(offset);
+    }
+    return "data: " + data.dump() + "\n\n";
+}
+
+const std::string engine_head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+
+} // namespace
+
+TEST(FaultyServer, AnAnswerOfAnEngineOrServiceCutAtAnyByteIsNotAnswered) {
+    struct engine_row {
+        std::string whole;
+        std::string result;
+        bool plain;
+    };
+    const auto rejection = answer("400 Bad", "");
+    const auto events = engine_head + token(0) + token(1) + token(2, true);
+    for (const auto& [whole, result, plain] : std::vector<engine_row>{
+             {answer("200 OK", "", "whole"), "200 whole, complete", true},
+             {answer("204 None", "", ""), "204 , complete", true},
+             {rejection, "400 error text, complete", false},
+             {events, "200 t0t1, complete", false}}) {
+        for (std::size_t size = 0; size < whole.size(); ++size) {
+            const auto got = call_engine(whole.substr(0, size), plain);
+            EXPECT_EQ(got.find("complete"), std::string::npos) << whole.substr(0, size);
+        }
+        EXPECT_EQ(call_engine(whole, plain), result);
+    }
+}
+
+TEST(FaultyServer, ABrokenEngineStreamIsContinuedByItsOwnPiecesOrUnknown) {
+    const auto begun = engine_head + token(0) + token(1);
+    for (const auto& [resumption, result] : std::vector<std::pair<std::string, std::string>>{
+             {engine_head + token(2) + token(3, true), "t0t1t2, complete"},
+             {engine_head + token(0) + token(1) + token(2, true), "t0t1, complete"},
+             {engine_head + token(1, true), "t0t1, unknown"},
+             {engine_head + token(3) + token(4, true), "t0t1, unknown"},
+             {engine_head + token(2, false, 2) + token(3, true, 2), "t0t1, unknown"},
+             {engine_head + "data: error text\n\n", "t0t1, unknown"},
+             {engine_head + answer("503 Busy", declined), "t0t1, unknown"},
+             {answer("200 OK", ""), "t0t1, unknown"},
+             {answer("204 None", "", ""), "t0t1, unknown"},
+             {answer("404 Unknown", ""), "t0t1, unknown"},
+             {answer("429 Slow", ""), "t0t1, unknown"},
+             {answer("500 Failed", ""), "t0t1, unknown"},
+             {"", "t0t1, unknown"}}) {
+        for (const std::string cut : {"", "data: ha", "data: {\"id\":1}\n\n", "HTTP/1.1 503 "}) {
+            auto bytes = begun;
+            bytes += cut;
+            EXPECT_EQ(call_engine(bytes, false, resumption), "200 " + result) << resumption;
+        }
+    }
+}
