A server's 408, 429 or 503 without a statement is no promise

What callers saw: an unsafe request, or a stream that may not be resumed, that a server answered with 408, 429 or 503 without Not-Executed got that status. Callers read it as "not run, try again" and send it again, though the server may have run it.

Cause: relay passed on every status that was no refusal. The statuses that promise callers something were not told apart from the others, so the gateway promised what no server had stated. When: the server's answer is whole and names the request. Hypotheses: (1) the gateway itself counts the status as a refusal, then a second server would get the request; (2) it forwards it unread, then one server gets it and the status arrives unchanged. One server got it: (2).

Seen failing before, at: "503, 1" against "502, 1": unsafe, 503 without a statement (the same for 429, 408, once)

Now judge_answer decides what an answer means; one that would promise more than was stated is not forwarded, and the caller gets 502. Requests that may be repeated keep the server's answer as it is: for them nothing depends on the promise, and Retry-After stays.

Looked at elsewhere: conclude (502 or 504 once a request may have run), the own protocol (an engine's 4xx carries the outcome header, a 5xx ends as unknown).

--- /dev/null
+++ b/include/tarragonspar/gateway/detail/answer_verdict.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+
+#include "tarragonspar/gateway/relayed_request.hpp"
+
+namespace tarragonspar::gateway::detail {
+
+/// @brief What a server's answer means for the request that was sent to it.
+enum class answer_verdict : std::uint8_t {
+    answers,  ///< it may be forwarded
+    declines, ///< the server states that it did not run the request
+    foreign,  ///< it does not name the request, which may have run
+    unclear,  ///< forwarded, it would tell the caller what the server has not stated
+};
+
+[[nodiscard]] answer_verdict judge_answer(unsigned status, const answer_metadata& metadata,
+                                          const relayed_request& request);
+
+} // namespace tarragonspar::gateway::detail
--- a/include/tarragonspar/gateway/detail/replies.hpp
+++ b/include/tarragonspar/gateway/detail/replies.hpp
@@ -11,6 +11,7 @@
 inline constexpr unsigned status_ok = 200;
 inline constexpr unsigned status_unauthorized = 401;
 inline constexpr unsigned status_not_found = 404;
+inline constexpr unsigned status_request_timeout = 408;
 inline constexpr unsigned status_misdirected = 421;
 inline constexpr unsigned status_too_many = 429;
 inline constexpr unsigned status_server_error = 500;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "tarragonspar/gateway/detail/answer_verdict.hpp"
 #include "tarragonspar/gateway/detail/replies.hpp"
 #include "tarragonspar/gateway/entry_instance.hpp"
 #include "tarragonspar/http/detail/serve.hpp"
@@ -245,17 +246,18 @@
     }
     const auto metadata = protocol_->read_metadata(*head);
     record_notices(*request, metadata);
-    // A refusal for another request implies nothing about this one.
-    const auto is_foreign =
-        !metadata.request_name.empty() && metadata.request_name != request->caller.name;
-    if (!is_foreign && (metadata.not_executed || head->status == status_misdirected)) {
+    const auto verdict = judge_answer(head->status, metadata, *request);
+    if (verdict == answer_verdict::declines) {
         request->may_have_run = ran_before;
         co_return attempt_end::not_executed;
     }
-    if (metadata.request_name != request->caller.name) {
-        telemetry::write(telemetry::log_line("answer_of_another_request")
+    if (verdict != answer_verdict::answers) {
+        const auto* event =
+            verdict == answer_verdict::foreign ? "answer_of_another_request" : "answer_unclear";
+        telemetry::write(telemetry::log_line(event)
                              .add("id", request->caller.name)
                              .add("answered", metadata.request_name)
+                             .add("status", head->status)
                              .add("server", at.server_name));
         co_return attempt_end::failed;
     }
--- a/tests/unit-deployment_faulty_server.cpp
+++ b/tests/unit-deployment_faulty_server.cpp
@@ -152,6 +152,9 @@
     const std::vector<row> rows{
         {{"declined", refusal}, "200 second, 2"},
         {{"misdirected", answer("421 Wrong", own)}, "200 second, 2"},
+        {{"503 without a statement", answer("503 Busy", own)}, "502, 1"},
+        {{"429 without a statement", answer("429 Slow", own)}, "502, 1"},
+        {{"408 without a statement", answer("408 Late", own)}, "502, 1"},
         {{"cut refusal", "HTTP/1.1 503 Busy\r\n" + own + declined}, "502, 1"},
         {{"names another", answer("503 Busy", another + declined)}, "502, 1"},
         {{"names another, 421", answer("421 Wrong", another)}, "502, 1"},
