--- a/tests/unit-deployment_faulty_server.cpp
+++ b/tests/unit-deployment_faulty_server.cpp
@@ -52,8 +52,7 @@
     int continues_to{0}; ///< if not 0: writes the pieces that follow, up to this one
 };
 
-void write_answer(server_answer answer, const received_request& to,
-                  asio::ip::tcp::socket& socket) {
+void write_answer(server_answer answer, const received_request& to, asio::ip::tcp::socket& socket) {
     if (answer.continues_to > 0) {
         const auto after = to.headers.find("Last-Event-Id");
         const auto from = after == to.headers.end() ? 1 : std::stoi(after->second) + 1;
@@ -68,8 +67,8 @@
 /// One request to a route of the given kind.
 struct fault_case {
     std::string kind;
-    server_answer first; ///< of the server that gets the request first
-    server_answer next;  ///< of any later one
+    server_answer first;  ///< of the server that gets the request first
+    server_answer next;   ///< of any later one
     int resumes_after{0}; ///< id of the event after which the caller resumes; 0: none
 };
 
@@ -183,8 +182,8 @@
         {"in a chunk's header", stream(two) + "1"},
         {"no last chunk", stream(pieces(base + 1, base + last_piece))},
         {"a refusal for a chunk", stream(two) + answer("503 Busy", own + declined)},
-        {"no length, in an event", "HTTP/1.1 200 OK\r\n" + own +
-                                       "Content-Type: text/event-stream\r\n\r\n" + two + "data: h"},
+        {"no length, in an event",
+         "HTTP/1.1 200 OK\r\n" + own + "Content-Type: text/event-stream\r\n\r\n" + two + "data: h"},
     };
 }
 
@@ -235,8 +234,8 @@
 // Whatever the second server answers, the caller gets the rest of the stream or sees that it broke.
 TEST(FaultyServer, ABrokenStreamIsContinuedByItsOwnPiecesOrAborted) {
     std::vector<fault_case> cases;
-    for (const auto& [kind, base] : std::vector<std::pair<std::string, int>>{
-             {"resumable", 0}, {"unsafe", 0}, {"once", 0}}) {
+    for (const auto& [kind, base] :
+         std::vector<std::pair<std::string, int>>{{"resumable", 0}, {"unsafe", 0}, {"once", 0}}) {
         auto answers = next_answers(base);
         answers.resize(kind == "resumable" ? answers.size() : 2);
         for (const auto& first : broken_streams(base)) {
@@ -350,11 +349,11 @@
     };
     const auto rejection = answer("400 Bad", "");
     const auto events = engine_head + token(0) + token(1) + token(2, true);
-    for (const auto& [whole, result, plain] : std::vector<engine_row>{
-             {answer("200 OK", "", "whole"), "200 whole, complete", true},
-             {answer("204 None", "", ""), "204 , complete", true},
-             {rejection, "400 error text, complete", false},
-             {events, "200 t0t1, complete", false}}) {
+    for (const auto& [whole, result, plain] :
+         std::vector<engine_row>{{answer("200 OK", "", "whole"), "200 whole, complete", true},
+                                 {answer("204 None", "", ""), "204 , complete", true},
+                                 {rejection, "400 error text, complete", false},
+                                 {events, "200 t0t1, complete", false}}) {
         for (std::size_t size = 0; size < whole.size(); ++size) {
             const auto got = call_engine(whole.substr(0, size), plain);
             EXPECT_EQ(got.find("complete"), std::string::npos) << whole.substr(0, size);
