A refusal that names no request is no promise

What callers saw: an unsafe request ran at a second server after a refusal without an Attempt-Id, also where the real answer followed on the same connection; with no second server the caller got 503.

Cause: only a refusal that named another request was foreign; one that named none counted. Servers echo the id and the id alone tells an extra refusal from an answer, so without it nothing is stated about this request. When: the first head on the connection has Not-Executed or status 421 and no id. Hypotheses: (1) the request is sent again because the head is unreadable, then an unsafe one would end with 502; (2) the head counts as a statement, then a second server gets it. A second one got it: (2).

Seen failing before, at: "200 second, 2" against "502, 1": unsafe, names none before the answer (the same for "names none" and "names none, 421", and for once)

An answer must name the request before it means anything for it; judge_answer looks at that first. Safe requests go to another server as before. Limit: a server whose refusals never carry the id would make each of them a 502; log event answer_of_another_request with an empty `answered` shows that.

--- a/src/gateway/answer_verdict.cpp
+++ b/src/gateway/answer_verdict.cpp
@@ -16,15 +16,12 @@
 
 answer_verdict judge_answer(unsigned status, const answer_metadata& metadata,
                             const relayed_request& request) {
-    // A refusal for another request implies nothing about this one.
-    const auto names_another =
-        !metadata.request_name.empty() && metadata.request_name != request.caller.name;
-    if (!names_another && (metadata.not_executed || status == status_misdirected)) {
-        return answer_verdict::declines;
-    }
     if (metadata.request_name != request.caller.name) {
         return answer_verdict::foreign;
     }
+    if (metadata.not_executed || status == status_misdirected) {
+        return answer_verdict::declines;
+    }
     return is_promise(status) && !request.work.idempotent ? answer_verdict::unclear
                                                           : answer_verdict::answers;
 }
