Not-Executed counts only with a status that refuses

What callers saw: a 200 or 500 with Not-Executed led to a second run of an unsafe request. A refusal that a server writes into the middle of the head of an answer has that form: the 200 of the answer, the rest of the refusal.

Cause: the header alone counted, whatever the status. A server's own 500 counts as run, and a success contradicts the statement. When: head with status 200 or 500, the request's id, Not-Executed. Hypotheses: (1) the first head is dropped as broken, then an unsafe request ends with 502; (2) the header decides alone, then a second server gets the request. A second one got it: (2).

Only a client error or 503 may decline. A success with the header is not forwarded, as one of its two halves is wrong; another server error is forwarded as the answer that it is.

--- a/src/gateway/answer_verdict.cpp
+++ b/src/gateway/answer_verdict.cpp
@@ -19,9 +19,15 @@
     if (metadata.request_name != request.caller.name) {
         return answer_verdict::foreign;
     }
-    if (metadata.not_executed || status == status_misdirected) {
+    const auto is_client_error = status >= status_client_error && status < status_server_error;
+    // Other server errors report what happened while the request ran.
+    const auto may_decline = is_client_error || status == status_unavailable;
+    if (may_decline && (metadata.not_executed || status == status_misdirected)) {
         return answer_verdict::declines;
     }
+    if (metadata.not_executed && status < status_client_error) {
+        return answer_verdict::unclear;
+    }
     return is_promise(status) && !request.work.idempotent ? answer_verdict::unclear
                                                           : answer_verdict::answers;
 }
--- a/tests/unit-deployment_faulty_server.cpp
+++ b/tests/unit-deployment_faulty_server.cpp
@@ -148,12 +148,15 @@
 TEST(FaultyServer, OnlyAStatementAboutThisRequestIsAPromise) {
     const auto first = answer("200 OK", own, "first");
     const auto refusal = answer("503 Busy", own + declined, "");
+    const std::string cut_head = "HTTP/1.1 200 OK\r\n" + own + "Response-Signature: s";
     const std::vector<row> rows{
         {{"declined", refusal}, "200 second, 2"},
         {{"misdirected", answer("421 Wrong", own)}, "200 second, 2"},
         {{"503 without a statement", answer("503 Busy", own)}, "502, 1"},
         {{"429 without a statement", answer("429 Slow", own)}, "502, 1"},
         {{"408 without a statement", answer("408 Late", own)}, "502, 1"},
+        {{"statement on a success", answer("200 OK", own + declined)}, "502, 1"},
+        {{"statement on a failure", answer("500 Failed", own + declined)}, "500, 1"},
         {{"cut refusal", "HTTP/1.1 503 Busy\r\n" + own + declined}, "502, 1"},
         {{"names another", answer("503 Busy", another + declined)}, "502, 1"},
         {{"names another, 421", answer("421 Wrong", another)}, "502, 1"},
@@ -167,6 +170,7 @@
         {{"names none before the answer", answer("503 Busy", declined, "") + first}, "502, 1"},
         {{"in an interim answer", interim + own + declined + "\r\n" + first}, "200 first, 1"},
         {{"after the answer", first + refusal}, "200 first, 1"},
+        {{"a refusal inside a head", cut_head + refusal}, "502, 1"},
     };
     expect_results({"unsafe", "once"}, rows);
 }
