A head with two ids is part of two answers

What callers saw: a server that stops inside a head and writes an answer once more gave a 200 with a body under a garbled signature; a refusal with the own id and another one led to a second run.

Cause: the first of two Attempt-Ids counted. Servers write one; a second one shows that two heads run into each other. When: the rest of a header's value is the next status line, so the head stays valid. Hypotheses: (1) the parser rejects the merged head, then 502; (2) it takes the status line as the end of the value, then 200. It was 200: (2).

A cut in front of the id leaves one id and can't be seen this way; then the signature's line is still to come and is whole.

--- a/tests/unit-deployment_faulty_server.cpp
+++ b/tests/unit-deployment_faulty_server.cpp
@@ -162,6 +162,7 @@
         {{"names another, 421", answer("421 Wrong", another)}, "502, 1"},
         {{"names none", answer("503 Busy", declined)}, "502, 1"},
         {{"names none, 421", answer("421 Wrong", "")}, "502, 1"},
+        {{"names two", answer("503 Busy", own + another + declined)}, "502, 1"},
         {{"names another after interim answers",
           interim + "\r\n" + answer("503 Busy", another + declined)},
          "502, 1"},
@@ -171,6 +172,7 @@
         {{"in an interim answer", interim + own + declined + "\r\n" + first}, "200 first, 1"},
         {{"after the answer", first + refusal}, "200 first, 1"},
         {{"a refusal inside a head", cut_head + refusal}, "502, 1"},
+        {{"an answer inside a head", cut_head + first}, "502, 1"},
     };
     expect_results({"unsafe", "once"}, rows);
 }
