Streams of safe routes are not continued by another run

What callers saw: on a safe route, an event stream that broke off after some events went on with the events of a second server and ended complete: two runs joined. The second server also got a Last-Event-Id that the route does not know.

Cause: whether a started stream may be continued was read from "may run more than once", which holds for safe routes, too. When: safe route, answer of type text/event-stream with ids, break after the first event. Hypotheses: (1) the caller's own retry, then two requests arrive with a gap; (2) the gateway resumes, then one request has one complete answer. One request, complete: (2).

Only a streaming route with `resumable` may be continued; a started answer of any other is aborted. Before the first event, safe requests are repeated as before.

Looked at elsewhere: watch_progress asks for a streaming route already; the own protocol resumes the same run by id and offset.

--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -28,6 +28,12 @@
     return head.status == status_ok && head.header("Content-Type").starts_with("text/event-stream");
 }
 
+/// Whether another server may continue a stream after an event. A safe request may only be repeated
+/// as a whole: the events of two runs don't belong together.
+bool may_be_continued(const config::route& route) {
+    return route.kind == config::request_kind::streaming && route.resumable;
+}
+
 } // namespace
 
 void entry_instance::watch_caller(const request_ptr& request, http::exchange& with) {
@@ -278,10 +284,9 @@
         return request.unreachable < max_unreachable;
     }
     // Only a request that the server did not run, or that may run twice, may go to another server.
-    // A started stream is continued only if it can be resumed.
     const auto safe_to_repeat = last == attempt_end::not_executed || request.work.idempotent;
     const auto resumable =
-        !request.response_started || (request.work.idempotent && request.last_event);
+        !request.response_started || (may_be_continued(*request.route) && request.last_event);
     if (!safe_to_repeat || !resumable || request.attempts >= request.route->max_attempts) {
         return false;
     }
