An error as an event of the next server is no piece of a stream

What callers saw: the text of an error in the middle of their stream, and then its end as if it were complete, when the server that should have continued it answered 200 with an error event.

Cause: events without an id were forwarded from any server. Pieces have increasing ids; data without one can't be placed in a stream that another server began: it is an error, or a repetition that can't be recognised. When: resumable route, break after an event, 200 event stream with data without id. Hypotheses: (1) the first server wrote it, then it comes before the break; (2) the second one did, then after the pieces. It came after: (2).

Seen failing before, at: looks complete: resumable after 0, two events, then an error as an event: 200 id: 1 ... event: error

A continuing server's data without an id ends its attempt; the next server is asked, or the stream is aborted. Comments without data still pass. Limit: data without ids in the first server's own stream is forwarded as it is.

--- a/src/gateway/relay_answer.cpp
+++ b/src/gateway/relay_answer.cpp
@@ -23,6 +23,13 @@
 /// Largest single event; some thousand tokens take some tens of kilobytes.
 constexpr std::size_t max_event = 1024 * 1024;
 
+/// Whether all events have a place in a stream that another server has begun: without an id, data
+/// may be a repetition or an error.
+bool may_continue(const std::vector<http::stream_event>& events) {
+    return std::none_of(events.begin(), events.end(),
+                        [](const auto& event) { return event.has_data && !event.id; });
+}
+
 } // namespace
 
 asio::awaitable<attempt_end>
@@ -88,12 +95,16 @@
                                                                   http::exchange& with,
                                                                   http::answer_head head) {
     http::event_splitter splitter;
+    const auto is_continued = request->last_event.has_value();
     while (true) {
         const auto part = co_await request->call->read_body();
         if (request->is_over()) {
             co_return attempt_end::stopped;
         }
         const auto events = splitter.append(part.bytes);
+        if (is_continued && !may_continue(events)) {
+            co_return attempt_end::failed;
+        }
         if (!events.empty()) {
             const bool alive = co_await forward_events(request, with, head, events);
             if (!alive) {
