A continuation that ends before the point of its start is not complete

What callers saw: a stream that ended as complete with pieces missing, when the next server started again and ended at an id before the one after which it should have gone on.

Cause: events up to the last one received are dropped as repeated, and the end was taken as the end of the stream, whatever the ids. When: pieces 1 and 2 received, next server sends piece 1 and ends. Hypotheses: (1) the first server's end counted, then it happens without the second one; (2) the second one's did, then its attempt has to be there. Two servers got the request: (2).

Seen failing before, at: looks complete: resumable after 0, two events, then starts again and ends early: 200 id: 1

The last id of the continuing server is compared with the point of its start. One that sends no event at all and ends is complete, as only the end was missing. Limit: ids are only known to increase, so a piece that a continuing server leaves out can't be seen.

--- a/src/gateway/relay_answer.cpp
+++ b/src/gateway/relay_answer.cpp
@@ -23,11 +23,27 @@
 /// Largest single event; some thousand tokens take some tens of kilobytes.
 constexpr std::size_t max_event = 1024 * 1024;
 
-/// Whether all events have a place in a stream that another server has begun: without an id, data
-/// may be a repetition or an error.
-bool may_continue(const std::vector<http::stream_event>& events) {
-    return std::none_of(events.begin(), events.end(),
-                        [](const auto& event) { return event.has_data && !event.id; });
+/// Events of one server that may continue a stream.
+struct continued_stream {
+    std::optional<std::uint64_t> after;  ///< last event that the caller had received before
+    std::optional<std::uint64_t> newest; ///< last event of this server
+};
+
+/// Records the events of a server. Returns whether they can be placed in the stream: without an id,
+/// data in a continued stream may be a repetition or an error.
+bool accept_events(continued_stream& target, const std::vector<http::stream_event>& events) {
+    for (const auto& event : events) {
+        if (target.after && event.has_data && !event.id) {
+            return false;
+        }
+        target.newest = std::max(target.newest, event.id);
+    }
+    return true;
+}
+
+/// Whether a server ended a stream before the event after which it should have continued it.
+bool ends_early(const continued_stream& stream) {
+    return stream.after && stream.newest && *stream.newest < *stream.after;
 }
 
 } // namespace
@@ -95,14 +111,14 @@
                                                                   http::exchange& with,
                                                                   http::answer_head head) {
     http::event_splitter splitter;
-    const auto is_continued = request->last_event.has_value();
+    continued_stream progress{.after = request->last_event, .newest = {}};
     while (true) {
         const auto part = co_await request->call->read_body();
         if (request->is_over()) {
             co_return attempt_end::stopped;
         }
         const auto events = splitter.append(part.bytes);
-        if (is_continued && !may_continue(events)) {
+        if (!accept_events(progress, events) || (part.complete && ends_early(progress))) {
             co_return attempt_end::failed;
         }
         if (!events.empty()) {
--- a/tests/unit-deployment_faulty_server.cpp
+++ b/tests/unit-deployment_faulty_server.cpp
@@ -201,6 +201,7 @@
     return {
         {"continues", "", false, base + last_piece},
         {"starts again", stream(pieces(1, base + last_piece)) + last_chunk},
+        {"starts again and ends early", stream(pieces(1, 1)) + last_chunk},
         {"an error as an event", stream("event: error\ndata: error text\n\n") + last_chunk},
         {"404", answer("404 Unknown", own)},
         {"421", answer("421 Wrong", own + declined)},
