A caller's Last-Event-Id bounds the stream like a resumption's

What callers saw: a caller that resumed a stream after event 10 got pieces 1 to 10 once more, or a stream that ended before its point as complete, when the server did not go on there.

Cause: repeated events were dropped only after the gateway's own resumption; what the caller had received on an earlier connection was passed to the server and forgotten. When: resumable route, Last-Event-Id of the caller, server starts again at 1. Hypotheses: (1) the header is not passed on, then any server starts again; (2) it is, then only a faulty one does. The server that goes on got it and was right: (2).

Seen failing before, at: resumable after 10, no event, then starts again: 200 id: 1 ...

Other routes pass the header on and change nothing.

--- a/include/tarragonspar/gateway/relayed_request.hpp
+++ b/include/tarragonspar/gateway/relayed_request.hpp
@@ -58,6 +58,8 @@
     bool may_have_run{false};     ///< the request was sent to a server that did not decline it
     bool retry_allowed{false};    ///< the retry allowance has already granted another attempt
     bool response_started{false}; ///< the head of the answer has been sent to the caller
+    /// The last event that the caller has received, on an earlier connection if the stream may be
+    /// continued.
     std::optional<std::uint64_t> last_event;
     std::uint32_t events{0};
     std::uint64_t bytes_sent{0};
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -151,6 +151,9 @@
 asio::awaitable<void> entry_instance::relay(request_ptr request, http::exchange& with) {
     auto previous = dispatch::previous_grant::none;
     auto last = attempt_end::not_connected;
+    if (may_be_continued(*request->route)) {
+        request->last_event = request->caller.resume_after;
+    }
     while (true) {
         const bool granted = co_await wait_for_grant(request, previous);
         if (!granted) {
--- a/tests/unit-deployment_faulty_server.cpp
+++ b/tests/unit-deployment_faulty_server.cpp
@@ -246,7 +246,7 @@
 TEST(FaultyServer, ABrokenStreamIsContinuedByItsOwnPiecesOrAborted) {
     std::vector<fault_case> cases;
     for (const auto& [kind, base] : std::vector<std::pair<std::string, int>>{
-             {"resumable", 0}, {"safe", 0}, {"unsafe", 0}, {"once", 0}}) {
+             {"resumable", 0}, {"resumable", 10}, {"safe", 0}, {"unsafe", 0}, {"once", 0}}) {
         auto answers = next_answers(base);
         answers.resize(kind == "resumable" ? answers.size() : 2);
         for (const auto& first : broken_streams(base)) {
