A transfer coding that is not decoded is no body

What callers saw: an answer with `Transfer-Encoding: gzip` or `gzip, chunked` as a 200 whose body was the encoded bytes, without the header that says so; with `chunked, gzip` the chunk lines were part of the body.

Cause: the parser removes `chunked` alone and leaves any other coding in the body, the header goes as hop-by-hop. When: any such answer. Hypotheses: (1) the parser rejects it, then 502; (2) it reads to the end of the connection, then 200. It was 200: (2).

Seen failing before, at: "200 a, 1" against "502, 1": unsafe, Transfer-Encoding: gzip, chunked (the same for `gzip` and `chunked, gzip` with the chunk lines as body)

A head with another coding than chunked fails the call like other bytes that are not valid HTTP.

--- a/include/tarragonspar/http/backend_call.hpp
+++ b/include/tarragonspar/http/backend_call.hpp
@@ -99,4 +99,8 @@
 /// @brief Whether a header is hop-by-hop and must not be forwarded.
 [[nodiscard]] bool is_hop_header(std::string_view name) noexcept;
 
+/// @brief Whether a body is encoded for the connection in a way that is not decoded here, so that
+/// its bytes are not the content.
+[[nodiscard]] bool has_unknown_coding(const beast_http::fields& head);
+
 } // namespace tarragonspar::http
--- a/src/http/backend_call.cpp
+++ b/src/http/backend_call.cpp
@@ -57,6 +57,11 @@
     });
 }
 
+bool has_unknown_coding(const beast_http::fields& head) {
+    const auto coding = head[beast_http::field::transfer_encoding];
+    return !coding.empty() && !beast::iequals(coding, "chunked");
+}
+
 std::string answer_head::header(std::string_view name) const {
     for (const auto& [known, value] : headers) {
         if (beast::iequals(known, beast::string_view(name.data(), name.size()))) {
@@ -153,6 +158,9 @@
         }
         is_final = parser_->get().result_int() >= first_final;
     }
+    if (has_unknown_coding(parser_->get())) {
+        co_return std::nullopt;
+    }
     answer_head head;
     head.status = parser_->get().result_int();
     for (const auto& field : parser_->get().base()) {
--- a/tests/unit-deployment_faulty_server.cpp
+++ b/tests/unit-deployment_faulty_server.cpp
@@ -291,7 +291,8 @@
           "Content-Length: 1x\r\n", "Content-Length: \r\n",
           "Content-Length: 18446744073709551617\r\n",
           "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n",
-          "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n"}) {
+          "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n", "Transfer-Encoding: gzip\r\n",
+          "Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: chunked, gzip\r\n"}) {
         auto bytes = "HTTP/1.1 200 OK\r\n" + own;
         bytes.append(lines).append("\r\n1\r\na\r\n").append(last_chunk);
         rows.push_back({{lines, bytes}, "502, 1"});
