The own protocol skips interim answers

What callers saw: a service that wrote 100 Continue before its answer gave them status 100 with an empty body and outcome `answered`, a head cut after it looked like a whole answer; an engine's stream or rejection after an interim answer ended as `unknown` although it was there.

Cause: the engine client took the first head for the final one. When: any 1xx before the answer. Hypotheses: (1) the answer is lost on the way, then services would end as unknown; (2) the 1xx counts as the answer, then its status arrives. Status 100 arrived: (2).

Seen failing before, at: "100 , complete" against "200 whole, complete" ", unknown" against "400 error text, complete"

One function reads heads up to the first final one, eight interim ones at most, as the gateway's client does; it also fails on transfer codings that are not decoded. Dispatches, resumptions, services and `fetch` use it.

--- a/src/http/engine_client.cpp
+++ b/src/http/engine_client.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "tarragonspar/http/backend_call.hpp"
 #include "tarragonspar/http/detail/engine_stream.hpp"
 #include "tarragonspar/http/exchange.hpp"
 
@@ -35,6 +36,9 @@
 /// Maximum size of the body of a rejection that is relayed.
 constexpr std::size_t max_rejection_bytes = 64 * 1024;
 
+/// Maximum number of interim responses before the final one.
+constexpr int max_interim_responses = 8;
+
 /// Name of the header that carries the request id.
 constexpr const char* id_header = "Tarragon-Request-Id";
 
@@ -67,6 +71,29 @@
     co_return true;
 }
 
+/// Reads the head of the final response; interim responses are skipped.
+/// @param limit  maximum size of its body; nothing: unlimited
+/// @return null if the connection is lost or the bytes are not valid HTTP
+template <class Body>
+asio::awaitable<std::unique_ptr<beast_http::response_parser<Body>>>
+read_final_head(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                boost::optional<std::uint64_t> limit) {
+    constexpr unsigned first_final = 200;
+    for (int interim = 0; interim <= max_interim_responses; ++interim) {
+        auto parser = std::make_unique<beast_http::response_parser<Body>>();
+        parser->body_limit(limit);
+        const auto [error, size] =
+            co_await beast_http::async_read_header(stream, buffer, *parser, as_result);
+        if (error) {
+            co_return nullptr;
+        }
+        if (parser->get().result_int() >= first_final) {
+            co_return has_unknown_coding(parser->get()) ? nullptr : std::move(parser);
+        }
+    }
+    co_return nullptr;
+}
+
 request_message make_message(const upstream_request& request) {
     const auto verb = beast_http::string_to_verb(request.call.method);
     request_message message{verb, request.call.target, 11};
@@ -189,22 +216,20 @@
     /// Reads the response to a dispatch or a resumption.
     asio::awaitable<stream_end> read_response(beast::tcp_stream& stream, bool resuming) {
         beast::flat_buffer buffer(max_unread_bytes + read_bytes);
-        beast_http::response_parser<beast_http::buffer_body> parser;
-        parser.body_limit(boost::none);
         stream.expires_after(options.read_timeout);
-        const auto [error, size] =
-            co_await beast_http::async_read_header(stream, buffer, parser, as_result);
-        if (error) {
+        const auto parser =
+            co_await read_final_head<beast_http::buffer_body>(stream, buffer, boost::none);
+        if (!parser) {
             co_return stream_end::broken;
         }
-        const auto status = parser.get().result_int();
+        const auto status = parser->get().result_int();
         if (status == 200) {
-            co_return co_await read_events(stream, buffer, parser);
+            co_return co_await read_events(stream, buffer, *parser);
         }
         if (resuming) {
             co_return status == 404 ? stream_end::unknown_id : stream_end::broken;
         }
-        co_return co_await relay_rejection(stream, buffer, parser, status);
+        co_return co_await relay_rejection(stream, buffer, *parser, status);
     }
 
     /// Relays a client error (4xx) of an engine, such as for a malformed body.
@@ -326,15 +351,19 @@
                                   const upstream_request& request,
                                   const upstream_callbacks& callbacks, beast::tcp_stream& stream) {
     beast::flat_buffer buffer(max_unread_bytes + read_bytes);
-    beast_http::response_parser<beast_http::string_body> parser;
-    parser.body_limit(options.max_body_bytes);
     stream.expires_after(options.service_timeout);
-    const auto [error, size] = co_await beast_http::async_read(stream, buffer, parser, as_result);
+    const auto parser =
+        co_await read_final_head<beast_http::string_body>(stream, buffer, options.max_body_bytes);
+    beast::error_code error = beast_http::error::end_of_stream;
+    if (parser) {
+        std::tie(error, std::ignore) =
+            co_await beast_http::async_read(stream, buffer, *parser, as_result);
+    }
     if (error) {
         co_await report_unknown(callbacks, reason::server_lost);
         co_return;
     }
-    auto response = parser.release();
+    auto response = parser->release();
     answer_event start{
         answer_started{.server = request.server,
                        .status = response.result_int(),
@@ -428,13 +457,16 @@
         co_return std::string{};
     }
     beast::flat_buffer buffer(max_unread_bytes + read_bytes);
-    beast_http::response_parser<beast_http::string_body> parser;
-    parser.body_limit(options.max_body_bytes);
-    const auto [error, size] = co_await beast_http::async_read(stream, buffer, parser, as_result);
-    if (error || parser.get().result_int() != 200) {
+    const auto parser =
+        co_await read_final_head<beast_http::string_body>(stream, buffer, options.max_body_bytes);
+    if (!parser) {
+        co_return std::string{};
+    }
+    const auto [error, size] = co_await beast_http::async_read(stream, buffer, *parser, as_result);
+    if (error || parser->get().result_int() != 200) {
         co_return std::string{};
     }
-    co_return std::move(parser.get().body());
+    co_return std::move(parser->get().body());
 }
 
 } // namespace tarragonspar::http
