HEAD for a stream leaves no bytes on the connection

What callers saw: after a HEAD that a server answered with an event stream's head, the next answer on the same connection began with `0` and two line ends, so it could not be read.

Cause: the session sent the last chunk of a body that a response to HEAD does not have. When: HEAD, answer with status 200 and type text/event-stream, connection kept. Hypotheses: (1) bytes of the server pass through, then they differ with the server's answer; (2) the session ends the stream, then they are its last chunk. The server sent a head alone: (2).

Neither pieces nor the end of a stream are written for HEAD.

--- a/include/tarragonspar/http/detail/session.hpp
+++ b/include/tarragonspar/http/detail/session.hpp
@@ -77,7 +77,7 @@
         for (const auto& [name, value] : response.headers) {
             message.insert(name, value);
         }
-        if (request_.method() == beast_http::verb::head) {
+        if (is_head_request()) {
             response.body.clear();
         }
         message.body() = std::move(response.body);
@@ -116,7 +116,7 @@
     }
 
     asio::awaitable<bool> write(std::string piece) override {
-        if (!alive_ || piece.empty()) {
+        if (!alive_ || piece.empty() || is_head_request()) {
             co_return alive_;
         }
         set_write_deadline();
@@ -131,7 +131,7 @@
     }
 
     asio::awaitable<bool> end_stream() override {
-        if (!alive_ || !chunked_) {
+        if (!alive_ || !chunked_ || is_head_request()) {
             co_return alive_;
         }
         set_write_deadline();
@@ -320,6 +320,11 @@
         }
     }
 
+    /// Whether the response has no body, nor the end of one.
+    [[nodiscard]] bool is_head_request() const {
+        return request_.method() == beast_http::verb::head;
+    }
+
     void decide_keep_alive() {
         keep_alive_ = request_.keep_alive() && !context_.draining.load();
     }
--- a/tests/unit-deployment_stream.cpp
+++ b/tests/unit-deployment_stream.cpp
@@ -200,3 +200,29 @@
     EXPECT_TRUE(wait_until([&] { return closed.load(); }));
     EXPECT_LT(written, max_written);
 }
+
+// The end of a body that HEAD doesn't have would be read as the beginning of the next answer.
+TEST(Deployment, AHeadRequestForAStreamLeavesNoBytesOnTheConnection) {
+    const scripted_server server("i-1", [](const received_request& request,
+                                           asio::ip::tcp::socket& socket) {
+        const auto is_head = request.start.starts_with("HEAD");
+        write_raw(socket, is_head ? stream_head(request, "sig") : complete_answer(request, "b"));
+    });
+    platform_deployment d;
+    d.add_server(server, "s");
+    d.start_with(make_manifest(1));
+    asio::io_context context;
+    asio::ip::tcp::socket caller(context);
+    caller.connect(d.api_endpoint());
+    boost::beast::flat_buffer buffer;
+    for (const std::string method : {"HEAD", "GET"}) {
+        write_raw(caller, method + " /safe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + method +
+                              "\r\nKey: k\r\nDeadline-Ms: 4000\r\n\r\n");
+        beast_http::response_parser<beast_http::string_body> parser;
+        parser.skip(method == "HEAD");
+        boost::system::error_code error;
+        beast_http::read(caller, buffer, parser, error);
+        EXPECT_FALSE(error) << method << ": " << error.message();
+        EXPECT_EQ(parser.get().result_int(), 200U) << method;
+    }
+}
