Founding: no election before every seat is taken

Cause: an instance took its founding seat (disk 0) and held elections as soon as all peers had answered that they know no group. A peer answers so before it has asked itself. If its own queries are answered only after the first two have elected a leader, it hears of a group and joins under a new disk number. Until it is a voter, half a second to a second later, the group counts a seat that nobody holds, or two voters; a disk lost in that time is the second loss of three.

Change: the decision is a function without I/O, control::next_founding_step. A seat is taken under the same condition as before: every peer answers and none belongs to a group. So nobody has voted under it, and a wiped instance still comes back under a new number. The first election waits until every peer reports its seat, or one reports a group. An instance that restarts with a seat and no log waits likewise. The answer to control_status has the disk number for this; a peer that joined under a new one proves that a group exists. A field of the wrong type is now ignored; it ended the thread before.

The price: between the first seat and the last nobody may be lost for good without its return; until then there is no group and nothing was acknowledged. Groups with entries start as before. Open groups take their founders from the settings and are not changed.

Ruled out: the leader replacing the seat earlier (it does so at the first request to join; the loss may come before), and letting an instance take disk 0 from a running group (nobody can prove that a wiped one never voted).

--- a/include/tarragonspar/runtime/control_service.hpp
+++ b/include/tarragonspar/runtime/control_service.hpp
@@ -127,7 +127,11 @@
 
     void find_identity();
     void on_peer_states(std::size_t queried, const std::vector<wire::answer>& answers);
-    void start_replica(std::uint32_t disk, bool founding);
+    /// @brief Stores the disk number on a new disk and starts the replica under it.
+    void take_identity(std::uint32_t disk);
+    /// @brief Starts the replica from its files.
+    /// @param all_seated  closed groups: every founder has its seat, so elections may be held
+    void start_replica(std::uint32_t disk, bool all_seated);
     void schedule_tick();
     void tick();
     void step(const consensus::event& event);
--- a/src/runtime/control_commands.cpp
+++ b/src/runtime/control_commands.cpp
@@ -185,8 +185,11 @@
             return;
         }
         if (about == wire::topic::control_status) {
-            const auto term = self->replica_ ? self->replica_->term.value : 0;
-            reply({.known = self->options_.replica, .payload = json{{"term", term}}.dump()});
+            json status{{"term", self->replica_ ? self->replica_->term.value : 0}};
+            if (self->disk_) {
+                status["disk"] = *self->disk_;
+            }
+            reply({.known = self->options_.replica, .payload = status.dump()});
             return;
         }
         if (about == wire::topic::published) {
--- a/src/runtime/control_service.cpp
+++ b/src/runtime/control_service.cpp
@@ -7,6 +7,7 @@
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
+#include "tarragonspar/control/founding.hpp"
 #include "tarragonspar/runtime/clock.hpp"
 #include "tarragonspar/telemetry/log.hpp"
 
@@ -38,6 +39,20 @@
     return error;
 }
 
+std::optional<control::peer_report> read_peer_report(const std::string& payload) {
+    try {
+        const auto in = json::parse(payload);
+        control::peer_report out{.term = {in.at("term").get<std::uint64_t>()}};
+        if (in.contains("disk")) {
+            out.disk = in.at("disk").get<std::uint32_t>();
+        }
+        return out;
+    } catch (const json::exception& error) {
+        telemetry::write(telemetry::log_line("message_unreadable").add("why", error.what()));
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
 control_service::control_service(control_options options, wire::node& node, listener on_change)
@@ -58,7 +73,7 @@
         return {};
     }
     if (options_.data_folder.empty()) {
-        start_replica(0, true);
+        start_replica(control::founding_disk, true);
         return {};
     }
     std::optional<std::uint32_t> disk;
@@ -139,13 +154,14 @@
 
 void control_service::on_peer_states(std::size_t queried,
                                      const std::vector<wire::answer>& answers) {
-    bool exists = false;
+    std::vector<control::peer_report> reports;
     for (const auto& answer : answers) {
-        const auto in = json::parse(answer.payload, nullptr, false);
-        exists = exists || (in.is_object() && in.value("term", 0) > 0);
+        if (const auto report = read_peer_report(answer.payload)) {
+            reports.push_back(*report);
+        }
     }
-    if (!exists && answers.size() < queried) {
-        // The peers that did not answer may have formed a group.
+    switch (control::next_founding_step(disk_.has_value(), queried, reports)) {
+    case control::founding_step::wait:
         tick_timer_.expires_after(identity_retry_delay);
         tick_timer_.async_wait([self = shared_from_this()](boost::system::error_code error) {
             if (!error) {
@@ -153,9 +169,19 @@
             }
         });
         return;
+    case control::founding_step::take_seat:
+        take_identity(control::founding_disk);
+        return;
+    case control::founding_step::join:
+        take_identity(static_cast<std::uint32_t>(random_() % 0x7fffffffU) + 1);
+        return;
+    case control::founding_step::run:
+        start_replica(*disk_, true);
+        return;
     }
-    const auto disk =
-        exists ? static_cast<std::uint32_t>(random_() % 0x7fffffffU) + 1 : std::uint32_t{0};
+}
+
+void control_service::take_identity(std::uint32_t disk) {
     const auto error = run_on_disk(
         [&] { return control::replica_store::write_identity(options_.data_folder, disk); });
     if (!error.empty()) {
@@ -163,11 +189,12 @@
         return;
     }
     telemetry::write(
-        telemetry::log_line(exists ? "control_joins" : "control_founds").add("disk", disk));
-    start_replica(disk, !exists);
+        telemetry::log_line(disk == control::founding_disk ? "control_founds" : "control_joins")
+            .add("disk", disk));
+    start_replica(disk, false);
 }
 
-void control_service::start_replica(std::uint32_t disk, bool founding) {
+void control_service::start_replica(std::uint32_t disk, bool all_seated) {
     disk_ = disk;
     consensus::durable_state stored;
     if (!options_.data_folder.empty()) {
@@ -183,7 +210,19 @@
     }
     const auto id = consensus::make_replica_id(options_.self, disk);
     const auto is_first_start = stored.snapshot.members.voters.empty();
-    if (is_first_start && (founding || disk == 0)) {
+    const auto is_founder = disk == control::founding_disk;
+    // An open group names its founders in the settings; each of them takes its seat by itself.
+    const auto waits_for_seats = !options_.open_group && is_founder && is_first_start &&
+                                 stored.term.value == 0 && stored.entries.empty();
+    if (waits_for_seats && !all_seated) {
+        asio::post(pool_, [self = weak_from_this()] {
+            if (const auto service = self.lock()) {
+                service->find_identity();
+            }
+        });
+        return;
+    }
+    if (is_first_start && is_founder) {
         auto& voters = stored.snapshot.members.voters;
         if (options_.open_group) {
             for (const auto founder : founders_) {
