A control instance with damaged files rejoins under a new identity

What callers saw: a control instance whose log is damaged never takes part again. If its disk failed while it ran, it reopened the damaged log every 500 ms for ever; if it was started with it, the process ended. The next lost instance of three then leaves no majority for a publication.

Cause: a damaged file and a failed write took the same path, control_service::fail. A write may succeed later; damage doesn't pass.

The instance neither votes nor writes. It asks the members named in the readable part, the founders and the settings for a leader, and reads the newest document from it. The read is answered only by a leader that a majority confirms at that time, and that majority does without this replica: everything acknowledged is held elsewhere.

If a majority is damaged at once, no leader is confirmed and all files stay where they are: one repaired log brings everything back. Full, slow and failing disks keep their path and identity. A torn tail is truncated as before. An unknown header, and damaged identity or founders files, still refuse to start: the header of another version looks the same.

ALeaderRejoinsAfterItsDiskWasFull now checks besides that a full disk changes no identity.

--- a/include/tarragonspar/control/replica_store.hpp
+++ b/include/tarragonspar/control/replica_store.hpp
@@ -28,6 +28,11 @@
     /// @par Errors  `storage::file_error`
     static boost::leaf::result<void> write_identity(const std::string& folder, std::uint32_t disk);
 
+    /// @brief Gives the disk a new number and renames the files of the former one to `log.damaged`
+    /// and `snapshot.damaged`, replacing earlier ones.
+    /// @par Errors  `storage::file_error`; some files may have been renamed
+    static boost::leaf::result<void> set_aside(const std::string& folder, std::uint32_t disk);
+
     /// @brief Queues state to be stored; nothing is written before `sync`.
     void add(const consensus::store_term& change);
     void add(const consensus::store_entries& change);
--- a/include/tarragonspar/runtime/control_service.hpp
+++ b/include/tarragonspar/runtime/control_service.hpp
@@ -132,6 +132,15 @@
     /// @brief Starts the replica from its files.
     /// @param all_seated  closed groups: every founder has its seat, so elections may be held
     void start_replica(std::uint32_t disk, bool all_seated);
+    [[nodiscard]] std::uint32_t draw_disk_number();
+    /// @brief Opens the replica's files; returns the error, if any.
+    [[nodiscard]] std::optional<storage::file_error> open_store(consensus::durable_state& stored);
+    /// @brief Open groups: leaves damaged files in place until a leader is confirmed.
+    void handle_damage(const storage::file_error& damage, const consensus::durable_state& readable);
+    void find_leader();
+    void confirm_leader(const wire::answer& status);
+    /// @brief Sets the damaged files aside and joins under a new identity.
+    void replace_identity();
     void schedule_tick();
     void tick();
     void step(const consensus::event& event);
@@ -174,10 +183,13 @@
     boost::asio::thread_pool pool_{1};
     boost::asio::steady_timer tick_timer_;
     boost::asio::steady_timer restart_timer_; ///< restarts a replica whose disk failed
+    boost::asio::steady_timer leader_search_timer_;
     std::mt19937_64 random_;
     std::optional<consensus::replica> replica_;
     std::optional<control::replica_store> store_;
     bool failed_{false};
+    bool is_damaged_{false};            ///< the files are damaged and no leader is confirmed yet
+    std::vector<instance_id> contacts_; ///< asked for a leader while the files are damaged
     std::optional<std::uint32_t> disk_;
     bool stopped_{false};
     control::state state_;
--- a/src/control/replica_store.cpp
+++ b/src/control/replica_store.cpp
@@ -92,6 +92,20 @@
     return storage::replace_file(folder + "/identity", std::to_string(disk));
 }
 
+leaf::result<void> replica_store::set_aside(const std::string& folder, std::uint32_t disk) {
+    // A crash between these steps must not leave the former identity with an empty log, nor a log
+    // without the snapshot that it continues.
+    BOOST_LEAF_CHECK(write_identity(folder, disk));
+    for (const auto& path : {log_path(folder), snapshot_path(folder)}) {
+        std::error_code ignored;
+        if (!std::filesystem::exists(path, ignored)) {
+            continue;
+        }
+        BOOST_LEAF_CHECK(storage::move_file(path, path + ".damaged"));
+    }
+    return {};
+}
+
 leaf::result<replica_store> replica_store::open(const std::string& folder,
                                                 consensus::durable_state& out) {
     BOOST_LEAF_CHECK(read_snapshot(folder, out));
--- a/src/runtime/control_commands.cpp
+++ b/src/runtime/control_commands.cpp
@@ -189,6 +189,9 @@
             if (self->disk_) {
                 status["disk"] = *self->disk_;
             }
+            if (self->replica_ && self->replica_->leader) {
+                status["leader"] = consensus::instance_of(*self->replica_->leader).value;
+            }
             reply({.known = self->options_.replica, .payload = status.dump()});
             return;
         }
--- a/src/runtime/control_service.cpp
+++ b/src/runtime/control_service.cpp
@@ -57,7 +57,8 @@
 
 control_service::control_service(control_options options, wire::node& node, listener on_change)
     : options_(std::move(options)), node_(node), on_change_(std::move(on_change)),
-      tick_timer_(pool_), restart_timer_(pool_), random_(std::random_device{}()) {
+      tick_timer_(pool_), restart_timer_(pool_), leader_search_timer_(pool_),
+      random_(std::random_device{}()) {
     auto first = std::make_shared<config::state>();
     first->current = options_.first;
     published_ = std::move(first);
@@ -88,8 +89,7 @@
         // Only the settings determine whether a group exists: if it were decided by querying peers,
         // instances that can't reach each other could found two groups.
         const auto is_founder = options_.may_found;
-        disk =
-            is_founder ? std::uint32_t{0} : static_cast<std::uint32_t>(random_() % 0x7fffffffU) + 1;
+        disk = is_founder ? control::founding_disk : draw_disk_number();
         error = init_founders(is_founder);
         if (error.empty()) {
             error = run_on_disk([&] {
@@ -108,7 +108,8 @@
     }
     if (disk) {
         start_replica(*disk, false);
-        return failed_ ? "the control replica's files can't be used; see the log" : std::string{};
+        return failed_ && !is_damaged_ ? "the control replica's files can't be used; see the log"
+                                       : std::string{};
     }
     asio::post(pool_, [self = shared_from_this()] { self->find_identity(); });
     return {};
@@ -119,6 +120,7 @@
         stopped_ = true;
         tick_timer_.cancel();
         restart_timer_.cancel();
+        leader_search_timer_.cancel();
     });
     pool_.join();
 }
@@ -173,7 +175,7 @@
         take_identity(control::founding_disk);
         return;
     case control::founding_step::join:
-        take_identity(static_cast<std::uint32_t>(random_() % 0x7fffffffU) + 1);
+        take_identity(draw_disk_number());
         return;
     case control::founding_step::run:
         start_replica(*disk_, true);
@@ -181,6 +183,10 @@
     }
 }
 
+std::uint32_t control_service::draw_disk_number() {
+    return static_cast<std::uint32_t>(random_() % 0x7fffffffU) + 1;
+}
+
 void control_service::take_identity(std::uint32_t disk) {
     const auto error = run_on_disk(
         [&] { return control::replica_store::write_identity(options_.data_folder, disk); });
@@ -198,13 +204,13 @@
     disk_ = disk;
     consensus::durable_state stored;
     if (!options_.data_folder.empty()) {
-        const auto error = run_on_disk([&]() -> leaf::result<void> {
-            BOOST_LEAF_AUTO(opened, control::replica_store::open(options_.data_folder, stored));
-            store_.emplace(std::move(opened));
-            return {};
-        });
-        if (!error.empty()) {
-            fail(error);
+        const auto error = open_store(stored);
+        if (error && error->kind == storage::file_error_kind::corrupt && options_.open_group) {
+            handle_damage(*error, stored);
+            return;
+        }
+        if (error) {
+            fail(describe(*error));
             return;
         }
     }
--- a/tests/full_disk.hpp
+++ b/tests/full_disk.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <string>
 
 #include <fcntl.h>
@@ -11,6 +13,12 @@
 /// @brief Disk faults for a replica that runs in the test process.
 namespace tarragonspar::testing {
 
+/// @brief Reads a whole file.
+inline std::string read_bytes(const std::filesystem::path& file) {
+    std::ifstream in(file, std::ios::binary);
+    return {std::istreambuf_iterator<char>(in), {}};
+}
+
 /// @brief Makes all further writes to an open log fail as on a full disk. A log that is reopened
 /// can be written again.
 inline void fill_open_log(const std::filesystem::path& folder) {
--- a/tests/unit-control_founding.cpp
+++ b/tests/unit-control_founding.cpp
@@ -196,8 +196,8 @@
                group[1].status().value("leader", 0) != 0;
     };
     ASSERT_TRUE(wait_until([&] {
-        return someone_leads() || (group[2].queries_from({1}) >= several &&
-                                   group[2].queries_from({2}) >= several);
+        return someone_leads() ||
+               (group[2].queries_from({1}) >= several && group[2].queries_from({2}) >= several);
     }));
     EXPECT_FALSE(someone_leads());
     group[2].start();
--- a/tests/unit-deployment_disk.cpp
+++ b/tests/unit-deployment_disk.cpp
@@ -29,10 +29,14 @@
     const auto failed = d.find_leader();
     const auto stopped = (failed + 1) % 3;
     const auto remaining = (failed + 2) % 3;
+    const auto identity = read_bytes(d.data_folder(failed) / "identity");
     fill_open_log(d.data_folder(failed));
     ASSERT_TRUE(wait_until([&] { return d.publish(make_manifest(2), remaining).status == 200; }));
     d.stop_control(stopped);
     EXPECT_TRUE(wait_until([&] { return d.publish(make_manifest(3), remaining).status == 200; }));
+    // A full disk is no damage: the replica keeps its files and its identity.
+    EXPECT_EQ(read_bytes(d.data_folder(failed) / "identity"), identity);
+    EXPECT_FALSE(std::filesystem::exists(d.data_folder(failed) / "log.damaged"));
 }
 
 // Entry instances stayed with the leader whose disk had failed and put no later document in force.
