An entry instance that was suspended confirms its document anew

Confirmations use that clock now. No test: a suspension can't be made on this machine; unit-deployment_control passes.

--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -13,6 +13,7 @@
 
 namespace asio = boost::asio;
 using runtime::now;
+using runtime::now_with_suspension;
 
 namespace {
 
@@ -56,7 +57,7 @@
       callbacks_(std::move(handlers)), timer_(context), contacts_(std::move(contacts)),
       random_(std::random_device{}()),
       local_scheduler_(std::make_shared<grant_service>(context, local_choice_noise)) {
-    documents_.started = now();
+    documents_.started = now_with_suspension();
     list_.read = now(); // gives a leader some time to send a list before this instance reads it
     next_contact_ = contacts_.empty() ? 0 : self_.value % contacts_.size();
 }
@@ -120,7 +121,7 @@
                                .entry_instances = entry_instances_};
     node_.ask(*target_, wire::topic::entry_report, pack(message, now()),
               [self = shared_from_this(), from = *target_,
-               requested = now()](std::optional<wire::answer> answer) {
+               requested = now_with_suspension()](std::optional<wire::answer> answer) {
                   asio::post(self->context_, [self, from, requested, answer = std::move(answer)] {
                       self->on_control_update(from, requested, answer);
                   });
@@ -130,11 +131,11 @@
 // --- the document in force ---
 
 bool control_link::is_document_confirmed() const {
-    return config::is_confirmed(documents_, now());
+    return config::is_confirmed(documents_, now_with_suspension());
 }
 
 void control_link::check_document() {
-    if (const auto due = config::due_candidate(documents_, now())) {
+    if (const auto due = config::due_candidate(documents_, now_with_suspension())) {
         documents_.candidate = {};
         callbacks_.on_document(*due, {.from = candidate_from_});
     }
@@ -174,7 +175,7 @@
                                .entry_instances = entry_instances_};
     node_.ask(
         peer, wire::topic::entry_report, pack(message, now()),
-        [self = shared_from_this(), peer, requested = now()](std::optional<wire::answer> answer) {
+        [self = shared_from_this(), peer, requested = now_with_suspension()](std::optional<wire::answer> answer) {
             asio::post(self->context_, [self, peer, requested, answer = std::move(answer)] {
                 const auto update = answer && answer->known ? unpack_control_update(answer->payload)
                                                             : std::optional<control_update>{};
@@ -202,7 +203,7 @@
     if (documents_.in_force.number > request->document) {
         update.document = documents_.in_force;
     }
-    update.newest = config::newest_known(documents_, now());
+    update.newest = config::newest_known(documents_, now_with_suspension());
     add_server_list(list_, *request, now(), update);
     std::sample(peers_.begin(), peers_.end(), std::back_inserter(update.peers), peers_per_update,
                 random_);
@@ -234,7 +235,7 @@
     for (const auto peer : update.peers) {
         add_peer(peer);
     }
-    const auto next = config::receive(documents_, documents, now());
+    const auto next = config::receive(documents_, documents, now_with_suspension());
     if (next) {
         callbacks_.on_document(*next, {.from = from, .leads = update.schedules});
     } else if (documents.content && documents.content->number == documents_.candidate.number) {
