--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -173,17 +173,18 @@
                                .servers_fingerprint = list_.fingerprint,
                                .servers_age = now() - list_.read,
                                .entry_instances = entry_instances_};
-    node_.ask(
-        peer, wire::topic::entry_report, pack(message, now()),
-        [self = shared_from_this(), peer, requested = now_with_suspension()](std::optional<wire::answer> answer) {
-            asio::post(self->context_, [self, peer, requested, answer = std::move(answer)] {
-                const auto update = answer && answer->known ? unpack_control_update(answer->payload)
-                                                            : std::optional<control_update>{};
-                if (update) {
-                    self->on_peer_update(peer, requested, *update);
-                }
-            });
-        });
+    node_.ask(peer, wire::topic::entry_report, pack(message, now()),
+              [self = shared_from_this(), peer,
+               requested = now_with_suspension()](std::optional<wire::answer> answer) {
+                  asio::post(self->context_, [self, peer, requested, answer = std::move(answer)] {
+                      const auto update = answer && answer->known
+                                              ? unpack_control_update(answer->payload)
+                                              : std::optional<control_update>{};
+                      if (update) {
+                          self->on_peer_update(peer, requested, *update);
+                      }
+                  });
+              });
 }
 
 std::optional<control_update> control_link::answer_peer(instance_id from,
