The leader doesn't append a resent document again

What callers saw: nothing wrong, but each attempt of a publication costs a log entry of the document's size and a sync. An instance that was asked sends the document again after 1 s without an answer, up to 40 times, and does not see that the leader stores or has stored it.

Cause: submit_locally appended every command; that the second one changes nothing was decided only when it was applied.

Change: a leader answers a document whose number is at most that in force from its state; what it applied is committed, and the entry would have had the same answer. A document that equals, byte for byte, an uncommitted entry of its log waits for that entry. Several proposals may wait for one index; all get its answer, or none if another leader replaced the entry. Another content under the same number is appended as before. Changes and claims of keys keep their path.

--- a/include/tarragonspar/runtime/control_service.hpp
+++ b/include/tarragonspar/runtime/control_service.hpp
@@ -169,7 +169,11 @@
     /// @brief Forwards a replica's request to join to the leader, which the replica may not know.
     void forward_join(consensus::replica_id joining);
     void handle_join(consensus::replica_id joining);
-    void submit_locally(std::string bytes, std::function<void(std::optional<std::string>)> done);
+    /// @brief Proposes a command if this replica leads. A document that is sent again is not
+    /// appended again.
+    /// @param bytes  the encoded command
+    void submit_locally(const control::command& command, std::string bytes,
+                        std::function<void(std::optional<std::string>)> done);
     void submit_to_leader(submission pending);
     void publish_configuration();
     void apply_configuration(const std::string& payload);
@@ -194,7 +198,7 @@
     bool stopped_{false};
     control::state state_;
     consensus::log_index applied_;
-    std::map<consensus::log_index, waiting_proposal> waiting_proposals_;
+    std::multimap<consensus::log_index, waiting_proposal> waiting_proposals_;
     std::map<std::uint64_t, std::function<void(std::optional<control::reply>)>> proposals_;
     std::uint64_t next_token_{0};
     std::vector<instance_id> founders_; ///< open groups: the first voters, all with disk 0
--- a/src/runtime/control_commands.cpp
+++ b/src/runtime/control_commands.cpp
@@ -25,6 +25,20 @@
 /// Attempts to send a command before its result counts as unknown.
 constexpr int max_submit_attempts = 40;
 
+/// Returns the newest uncommitted command with these bytes, if any.
+const consensus::entry* find_uncommitted(const consensus::replica& source,
+                                         const std::string& bytes) {
+    for (auto item = source.entries.rbegin(); item != source.entries.rend(); ++item) {
+        if (item->index <= source.commit) {
+            return nullptr;
+        }
+        if (item->kind == consensus::entry_kind::command && item->data == bytes) {
+            return &*item;
+        }
+    }
+    return nullptr;
+}
+
 } // namespace
 
 void control_service::request_join() {
@@ -85,16 +99,30 @@
     step(consensus::propose_group{.token = ++next_token_, .next = std::move(next)});
 }
 
-void control_service::submit_locally(std::string bytes,
+void control_service::submit_locally(const control::command& command, std::string bytes,
                                      std::function<void(std::optional<std::string>)> done) {
     if (!replica_ || failed_ || replica_->current != consensus::role::leader) {
         done(std::nullopt);
         return;
     }
-    const auto token = ++next_token_;
-    proposals_.emplace(token, [done = std::move(done)](std::optional<control::reply> reply) {
+    auto respond = [done = std::move(done)](const std::optional<control::reply>& reply) {
         done(reply ? std::optional{control::encode(*reply)} : std::nullopt);
-    });
+    };
+    if (const auto* document = std::get_if<config::document>(&command)) {
+        // A document in force is committed; only a newer one changes the state.
+        if (document->number <= state_.published.number) {
+            respond(control::apply(state_, command));
+            return;
+        }
+        if (const auto* waiting = find_uncommitted(*replica_, bytes)) {
+            waiting_proposals_.emplace(
+                waiting->index,
+                waiting_proposal{.term = waiting->term, .done = std::move(respond)});
+            return;
+        }
+    }
+    const auto token = ++next_token_;
+    proposals_.emplace(token, std::move(respond));
     step(consensus::propose{.token = token, .data = std::move(bytes)});
 }
 
@@ -137,7 +165,8 @@
         timer->async_wait([self, timer, pending](auto) { self->submit_to_leader(pending); });
     };
     if (target == options_.self) {
-        submit_locally(std::move(pending.bytes), on_answer);
+        const auto command = control::decode_command(pending.bytes);
+        submit_locally(command, std::move(pending.bytes), on_answer);
         return;
     }
     const auto payload =
@@ -213,17 +242,18 @@
             reply({.known = true, .payload = {}});
             return;
         }
-        std::string command;
+        std::string bytes;
+        control::command command;
         try {
             const auto in = json::from_cbor(payload);
-            const auto& bytes = in.at("command").get_binary();
-            command.assign(bytes.begin(), bytes.end());
-            static_cast<void>(control::decode_command(command));
+            const auto& binary = in.at("command").get_binary();
+            bytes.assign(binary.begin(), binary.end());
+            command = control::decode_command(bytes);
         } catch (const std::exception&) {
             reply({});
             return;
         }
-        self->submit_locally(std::move(command), [reply](std::optional<std::string> done) {
+        self->submit_locally(command, std::move(bytes), [reply](std::optional<std::string> done) {
             reply({.known = done.has_value(), .payload = done.value_or("")});
         });
     });
--- a/src/runtime/control_service.cpp
+++ b/src/runtime/control_service.cpp
@@ -405,8 +405,8 @@
         done(std::nullopt);
         return;
     }
-    waiting_proposals_.insert_or_assign(
-        *result.index, waiting_proposal{.term = result.term, .done = std::move(done)});
+    waiting_proposals_.emplace(*result.index,
+                               waiting_proposal{.term = result.term, .done = std::move(done)});
 }
 
 void control_service::on_applied(const consensus::entry& entry) {
@@ -432,12 +432,11 @@
             publish_configuration();
         }
     }
-    const auto waiting = waiting_proposals_.find(entry.index);
-    if (waiting != waiting_proposals_.end()) {
-        const auto is_own = waiting->second.term == entry.term;
-        const auto done = std::move(waiting->second.done);
-        waiting_proposals_.erase(waiting);
-        done(is_own ? reply : std::nullopt);
+    const auto [first, last] = waiting_proposals_.equal_range(entry.index);
+    const std::vector<std::pair<consensus::log_index, waiting_proposal>> waiting(first, last);
+    waiting_proposals_.erase(first, last);
+    for (const auto& [index, item] : waiting) {
+        item.done(item.term == entry.term ? reply : std::nullopt);
     }
 }
 
--- /dev/null
+++ b/tests/control_group_fixture.hpp
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <future>
+#include <mutex>
+#include <set>
+
+#include <gtest/gtest.h>
+
+#include "system_fixture.hpp"
+#include "tarragonspar/control/replica_store.hpp"
+#include "tarragonspar/gateway/query_handler.hpp"
+#include "tarragonspar/runtime/control_service.hpp"
+
+/// @brief Control services without the rest of their instances, on the loopback interface.
+namespace tarragonspar::testing {
+
+constexpr std::size_t control_group_size = 3;
+
+/// @brief Answers queries through a control service, or, without one, as an instance that has not asked
+/// yet whether a group exists.
+class control_node final : public gateway::query_handler {
+public:
+    control_node(std::size_t index, const std::vector<std::uint16_t>& ports,
+                 const std::filesystem::path& folder)
+        : id_{static_cast<std::uint32_t>(index + 1)}, folder_(folder / std::to_string(id_.value)) {
+        wire::node_options options{.self = id_,
+                                   .listen = {.address = "127.0.0.1", .port = ports[index]}};
+        for (std::size_t i = 0; i < ports.size(); ++i) {
+            if (i != index) {
+                const instance_id peer{static_cast<std::uint32_t>(i + 1)};
+                options.peers[peer] = {.address = "127.0.0.1", .port = ports[i]};
+                peers_.push_back(peer);
+            }
+        }
+        node_ = std::make_unique<wire::node>(options, *this);
+        EXPECT_EQ(node_->start(), "");
+    }
+    control_node(const control_node&) = delete;
+    control_node& operator=(const control_node&) = delete;
+    ~control_node() override {
+        stop();
+        node_->stop();
+    }
+
+    void start() {
+        runtime::control_options options;
+        options.self = id_;
+        options.replica = true;
+        options.replicas = peers_;
+        options.data_folder = folder_.string();
+        const auto service = std::make_shared<runtime::control_service>(
+            options, *node_, [](const std::shared_ptr<const config::state>&) {});
+        EXPECT_EQ(service->start(), "");
+        const std::lock_guard lock(mutex_);
+        service_ = service;
+    }
+
+    void stop() {
+        std::shared_ptr<runtime::control_service> service;
+        {
+            const std::lock_guard lock(mutex_);
+            service = std::exchange(service_, nullptr);
+        }
+        if (service) {
+            service->stop();
+        }
+    }
+
+    void wipe_disk() const {
+        std::filesystem::remove_all(folder_);
+    }
+
+    [[nodiscard]] std::optional<std::uint32_t> disk() const {
+        const auto found = control::replica_store::read_identity(folder_.string());
+        return found ? found.value() : std::nullopt;
+    }
+
+    [[nodiscard]] nlohmann::json status() const {
+        std::promise<std::string> answer;
+        service()->with_status([&](std::string text) { answer.set_value(std::move(text)); });
+        return nlohmann::json::parse(answer.get_future().get());
+    }
+
+    /// @brief Simulates a network partition from these instances.
+    void cut_off(const std::set<instance_id>& peers) {
+        node_->cut_off(peers);
+    }
+
+    [[nodiscard]] std::uintmax_t log_bytes() const {
+        return std::filesystem::file_size(folder_ / "log");
+    }
+
+    [[nodiscard]] std::shared_ptr<runtime::control_service> service() const {
+        const std::lock_guard lock(mutex_);
+        return service_;
+    }
+
+    /// Queries of the status that were answered without a service, by the asking instance.
+    [[nodiscard]] int queries_from(instance_id peer) const {
+        const std::lock_guard lock(mutex_);
+        const auto found = queries_.find(peer);
+        return found == queries_.end() ? 0 : found->second;
+    }
+
+private:
+    void on_consensus(instance_id, std::string messages) override {
+        if (const auto running = service()) {
+            running->on_messages(messages);
+        }
+    }
+    void on_query(instance_id from, wire::topic about, std::string payload,
+                  std::function<void(wire::answer)> reply) override {
+        if (const auto running = service()) {
+            running->on_query(about, payload, std::move(reply));
+            return;
+        }
+        if (about != wire::topic::control_status) {
+            reply({});
+            return;
+        }
+        const std::lock_guard lock(mutex_);
+        ++queries_[from];
+        reply({.known = true, .payload = nlohmann::json{{"term", 0}}.dump()});
+    }
+
+    instance_id id_;
+    std::filesystem::path folder_;
+    std::vector<instance_id> peers_;
+    mutable std::mutex mutex_;
+    std::map<instance_id, int> queries_;
+    std::shared_ptr<runtime::control_service> service_;
+    std::unique_ptr<wire::node> node_;
+};
+
+/// @brief A closed control group of three.
+class control_group {
+public:
+    control_group() {
+        for (std::size_t i = 0; i < control_group_size; ++i) {
+            ports_.push_back(free_port());
+        }
+        for (std::size_t i = 0; i < control_group_size; ++i) {
+            nodes_.push_back(std::make_unique<control_node>(i, ports_, folder_));
+        }
+    }
+    control_group(const control_group&) = delete;
+    control_group& operator=(const control_group&) = delete;
+    ~control_group() {
+        nodes_.clear();
+        std::filesystem::remove_all(folder_);
+    }
+
+    control_node& operator[](std::size_t index) {
+        return *nodes_[index];
+    }
+
+private:
+    std::filesystem::path folder_{std::filesystem::temp_directory_path() /
+                                  ("tarragon-founding-" + std::to_string(::getpid()))};
+    std::vector<std::uint16_t> ports_;
+    std::vector<std::unique_ptr<control_node>> nodes_;
+};
+
+} // namespace tarragonspar::testing
--- a/tests/unit-deployment_damage.cpp
+++ b/tests/unit-deployment_damage.cpp
@@ -74,8 +74,8 @@
     d.start_control(damaged, false);
     ASSERT_TRUE(wait_until([&] { return is_voter(d, damaged); }));
     d.stop_control((damaged + 1) % 3);
-    EXPECT_TRUE(wait_until(
-        [&] { return d.publish(make_manifest(3), (damaged + 2) % 3).status == 200; }));
+    EXPECT_TRUE(
+        wait_until([&] { return d.publish(make_manifest(3), (damaged + 2) % 3).status == 200; }));
 }
 
 // Guards against a majority of damaged replicas that give up files which may be the only copies of
