--- a/tests/control_group_fixture.hpp
+++ b/tests/control_group_fixture.hpp
@@ -16,8 +16,8 @@
 
 constexpr std::size_t control_group_size = 3;
 
-/// @brief Answers queries through a control service, or, without one, as an instance that has not asked
-/// yet whether a group exists.
+/// @brief Answers queries through a control service, or, without one, as an instance that has not
+/// asked yet whether a group exists.
 class control_node final : public gateway::query_handler {
 public:
     control_node(std::size_t index, const std::vector<std::uint16_t>& ports,
--- a/tests/unit-control_resend.cpp
+++ b/tests/unit-control_resend.cpp
@@ -19,8 +19,7 @@
 
 std::string change_query(const config::document& document) {
     const auto bytes = control::encode(control::command{document});
-    const nlohmann::json query{
-        {"command", nlohmann::json::binary({bytes.begin(), bytes.end()})}};
+    const nlohmann::json query{{"command", nlohmann::json::binary({bytes.begin(), bytes.end()})}};
     std::string out;
     nlohmann::json::to_cbor(query, out);
     return out;
