--- a/tests/unit-deployment_faulty_server.cpp
+++ b/tests/unit-deployment_faulty_server.cpp
@@ -360,15 +360,16 @@
         bool plain;
     };
     const auto rejection = answer("400 Bad", "");
+    const auto interims = interim + "\r\n";
     const auto events = engine_head + token(0) + token(1) + token(2, true);
     for (const auto& [whole, result, plain] : std::vector<engine_row>{
              {answer("200 OK", "", "whole"), "200 whole, complete", true},
-             {interim + "\r\n" + answer("200 OK", "", "whole"), "200 whole, complete", true},
+             {interims + answer("200 OK", "", "whole"), "200 whole, complete", true},
              {answer("204 None", "", ""), "204 , complete", true},
              {rejection, "400 error text, complete", false},
-             {interim + "\r\n" + rejection, "400 error text, complete", false},
+             {interims + rejection, "400 error text, complete", false},
              {events, "200 t0t1, complete", false},
-             {interim + "\r\n" + events, "200 t0t1, complete", false}}) {
+             {interims + events, "200 t0t1, complete", false}}) {
         for (std::size_t size = 0; size < whole.size(); ++size) {
             const auto got = call_engine(whole.substr(0, size), plain);
             EXPECT_EQ(got.find("complete"), std::string::npos) << whole.substr(0, size);
--- a/tests/unit-deployment_stream.cpp
+++ b/tests/unit-deployment_stream.cpp
@@ -216,8 +216,9 @@
     caller.connect(d.api_endpoint());
     boost::beast::flat_buffer buffer;
     for (const std::string method : {"HEAD", "GET"}) {
-        write_raw(caller, method + " /safe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + method +
-                              "\r\nKey: k\r\nDeadline-Ms: 4000\r\n\r\n");
+        std::string request = method;
+        request.append(" /safe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: ").append(method);
+        write_raw(caller, request.append("\r\nKey: k\r\nDeadline-Ms: 4000\r\n\r\n"));
         beast_http::response_parser<beast_http::string_body> parser;
         parser.skip(method == "HEAD");
         boost::system::error_code error;
