Leaders of an earlier version confirm the document that was reported

Callers without a route or with an unknown key got 503 instead of 404 and 401 from an entry instance whose control instances are of an earlier version (a rolling upgrade that starts with the entry instances), for as long as no new document was published: 2 s after the last one, nothing confirmed it.

Cause: a leader of an earlier version sends a document only if the report states an older one, and only a sent document counted as its statement. Now a leader's answer without a document confirms the reported one: the leader has nothing newer. It says so with the same authority as before, by leading. The document of the report is kept with the query, since another may be in force when the answer comes.

Test: Decoders ALeaderOfAnEarlierVersionConfirmsTheReportedDocument; before the fix it failed with tests/unit-decoders.cpp:151: Failure Value of: same && same->newest Actual: false

--- a/include/tarragonspar/gateway/control_link.hpp
+++ b/include/tarragonspar/gateway/control_link.hpp
@@ -105,7 +105,7 @@
     void check_document();
     void update_local_shares();
     void on_control_update(instance_id from, time_point requested,
-                           std::optional<wire::answer> answer);
+                           const std::optional<control_update>& update);
     void set_scheduler(std::optional<instance_id> scheduler);
     void choose_target(std::optional<instance_id> leader);
     void retry_pending_grants();
--- a/include/tarragonspar/gateway/reports.hpp
+++ b/include/tarragonspar/gateway/reports.hpp
@@ -48,7 +48,9 @@
 [[nodiscard]] std::string pack(const entry_report& value, time_point now);
 [[nodiscard]] std::optional<entry_report> unpack_report(const std::string& bytes, time_point now);
 [[nodiscard]] std::string pack(const control_update& value);
-[[nodiscard]] std::optional<control_update> unpack_control_update(const std::string& bytes);
+/// @param reported  document that was stated in the report to which this is the answer
+[[nodiscard]] std::optional<control_update>
+unpack_control_update(const std::string& bytes, config::document_number reported = {});
 [[nodiscard]] std::string pack(const grant_request& value, time_point now);
 [[nodiscard]] std::optional<grant_request> unpack_grant_request(const std::string& bytes,
                                                                 time_point now);
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -48,6 +48,12 @@
 /// Time since the last contact with a leader up to which it is named to other entry instances.
 constexpr duration max_leader_age = std::chrono::milliseconds{450};
 
+std::optional<control_update> read_update(const std::optional<wire::answer>& answer,
+                                          config::document_number reported) {
+    return answer && answer->known ? unpack_control_update(answer->payload, reported)
+                                   : std::optional<control_update>{};
+}
+
 } // namespace
 
 control_link::control_link(asio::io_context& context, instance_id self, wire::node& node,
@@ -120,10 +126,11 @@
                                .servers_age = now() - list_.read,
                                .entry_instances = entry_instances_};
     node_.ask(*target_, wire::topic::entry_report, pack(message, now()),
-              [self = shared_from_this(), from = *target_,
+              [self = shared_from_this(), from = *target_, reported = message.document,
                requested = now_with_suspension()](std::optional<wire::answer> answer) {
-                  asio::post(self->context_, [self, from, requested, answer = std::move(answer)] {
-                      self->on_control_update(from, requested, answer);
+                  asio::post(self->context_, [self, from, reported, requested,
+                                              answer = std::move(answer)] {
+                      self->on_control_update(from, requested, read_update(answer, reported));
                   });
               });
 }
@@ -174,16 +181,14 @@
                                .servers_age = now() - list_.read,
                                .entry_instances = entry_instances_};
     node_.ask(peer, wire::topic::entry_report, pack(message, now()),
-              [self = shared_from_this(), peer,
+              [self = shared_from_this(), peer, reported = message.document,
                requested = now_with_suspension()](std::optional<wire::answer> answer) {
-                  asio::post(self->context_, [self, peer, requested, answer = std::move(answer)] {
-                      const auto update = answer && answer->known
-                                              ? unpack_control_update(answer->payload)
-                                              : std::optional<control_update>{};
-                      if (update) {
-                          self->on_peer_update(peer, requested, *update);
-                      }
-                  });
+                  asio::post(self->context_,
+                             [self, peer, reported, requested, answer = std::move(answer)] {
+                                 if (const auto update = read_update(answer, reported)) {
+                                     self->on_peer_update(peer, requested, *update);
+                                 }
+                             });
               });
 }
 
@@ -252,9 +257,7 @@
 }
 
 void control_link::on_control_update(instance_id from, time_point requested,
-                                     std::optional<wire::answer> answer) {
-    const auto update = answer && answer->known ? unpack_control_update(answer->payload)
-                                                : std::optional<control_update>{};
+                                     const std::optional<control_update>& update) {
     if (!update) {
         if (target_ == from && scheduler_ != from) {
             choose_target(std::nullopt);
--- a/src/gateway/reports.cpp
+++ b/src/gateway/reports.cpp
@@ -121,8 +121,9 @@
                       : json()}));
 }
 
-std::optional<control_update> unpack_control_update(const std::string& bytes) {
-    return read_cbor(bytes, [](const json& in) {
+std::optional<control_update> unpack_control_update(const std::string& bytes,
+                                                    config::document_number reported) {
+    return read_cbor(bytes, [&](const json& in) {
         control_update value;
         value.schedules = in.at(0).get<bool>();
         if (!in.at(1).is_null()) {
@@ -143,9 +144,11 @@
         }
         constexpr std::size_t newest_index = 9;
         if (in.size() <= newest_index) {
-            // An instance of an earlier version does not say what is newest; its leader sends it.
-            if (value.schedules && value.document) {
-                value.newest = config::newest_document{.number = value.document->number};
+            // A leader of an earlier version does not say what is newest, but sends it unless it
+            // was reported.
+            if (value.schedules) {
+                value.newest = config::newest_document{
+                    .number = value.document ? value.document->number : reported};
             }
         } else if (const auto& newest = in.at(newest_index); !newest.is_null()) {
             value.newest =
--- a/tests/unit-decoders.cpp
+++ b/tests/unit-decoders.cpp
@@ -135,6 +135,31 @@
                      });
 }
 
+// While control instances were of an earlier version, entry instances answered 503 to every caller
+// without a route or a key, as no document ever counted as the newest.
+TEST(Decoders, ALeaderOfAnEarlierVersionConfirmsTheReportedDocument) {
+    const auto as_earlier_version = [](const gateway::control_update& update) {
+        auto fields = nlohmann::json::from_cbor(gateway::pack(update));
+        fields.erase(fields.size() - 1);
+        return cbor::encode(fields);
+    };
+    const config::document_number reported{6};
+    const auto read = [&](const gateway::control_update& update) {
+        return gateway::unpack_control_update(as_earlier_version(update), reported);
+    };
+    const auto same = read({.schedules = true});
+    ASSERT_TRUE(same && same->newest);
+    EXPECT_EQ(same->newest->number, reported);
+    const auto newer =
+        read({.schedules = true, .document = config::document{.number = {7}, .content = "{}"}});
+    ASSERT_TRUE(newer && newer->newest);
+    EXPECT_EQ(newer->newest->number.value, 7U);
+    EXPECT_FALSE(read({.schedules = false})->newest) << "it does not lead";
+    const auto current =
+        gateway::unpack_control_update(gateway::pack({.schedules = true}), reported);
+    EXPECT_FALSE(current->newest) << "this version states it itself";
+}
+
 TEST(Decoders, MutatedWorkOfTheWireProtocol) {
     decode_mutations(wire::pack(make_work(), now), 7, [](const std::string& bytes) {
         static_cast<void>(wire::unpack_work(bytes, now));
