A document that waits for its confirmation is sent once

After a restart of all instances, each entry instance got the whole document with every answer, of a control instance and of a peer every 100 ms, until a leader confirmed it or 5 s had passed. A document of a few hundred routes has some hundred kilobytes; the largest deployment has 194 entry instances with links of 10 Mbit/s, and the control instances send to all of them while they elect a leader.

Cause: since unconfirmed documents wait, reports go on stating that none is in force, so every sender adds its own. Now a report states the newest document that the instance holds, and the tracker puts the waiting document in force once a statement confirms its number; a sender that has a newer one still adds it.

--- a/include/tarragonspar/config/document_tracker.hpp
+++ b/include/tarragonspar/config/document_tracker.hpp
@@ -22,7 +22,7 @@
 
 /// @brief What another instance answered about documents.
 struct document_update {
-    std::optional<document> content;       ///< set if newer than the one in force here
+    std::optional<document> content;       ///< set if newer than the one that is held here
     std::optional<newest_document> newest; ///< set if the sender knows
     document_source source{document_source::control_instance};
     time_point requested; ///< when this instance asked; the answer is not older
@@ -62,6 +62,10 @@
 [[nodiscard]] std::optional<document> due_candidate(const document_tracker& tracker,
                                                     time_point now);
 
+/// @brief Returns the number of the newest document of which this instance has the content. Others
+/// need not send it again; their confirmation is enough to put it in force.
+[[nodiscard]] document_number newest_held(const document_tracker& tracker);
+
 /// @brief Records that a document is in force.
 void set_in_force(document_tracker& tracker, document value);
 
--- a/include/tarragonspar/gateway/reports.hpp
+++ b/include/tarragonspar/gateway/reports.hpp
@@ -13,7 +13,7 @@
 /// its requests, to other entry instances while it has no leader.
 struct entry_report {
     dispatch::dispatcher_report open;
-    config::document_number document;    ///< in force at the entry instance
+    config::document_number document;    ///< newest one that the entry instance holds
     std::uint64_t servers_fingerprint{}; ///< fingerprint of the list of servers that it knows
     duration servers_age{};              ///< time since that list was read from the platform
     std::uint32_t entry_instances{1}; ///< number in the deployment, as the last leader reported it
--- a/src/config/document_tracker.cpp
+++ b/src/config/document_tracker.cpp
@@ -22,12 +22,16 @@
 
 std::optional<document> receive(document_tracker& tracker, const document_update& update,
                                 time_point now) {
+    const auto is_first = tracker.in_force.number.value == 0;
+    const auto has_candidate = is_first && tracker.candidate.number.value > 0;
+    if (has_candidate && proves(tracker, update, tracker.candidate.number, now)) {
+        return tracker.candidate;
+    }
     if (!update.content || update.content->number <= tracker.in_force.number) {
         return std::nullopt;
     }
     // A document that replaces an older one is an advance, whoever sent it. The first one after a
     // start may be older than the one in force before that start.
-    const auto is_first = tracker.in_force.number.value == 0;
     if (!is_first || proves(tracker, update, update.content->number, now)) {
         return update.content;
     }
@@ -49,6 +53,10 @@
     return tracker.candidate;
 }
 
+document_number newest_held(const document_tracker& tracker) {
+    return std::max(tracker.in_force.number, tracker.candidate.number);
+}
+
 void set_in_force(document_tracker& tracker, document value) {
     if (value.number != tracker.in_force.number) {
         tracker.confirmed_at = std::nullopt;
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -121,7 +121,7 @@
         return;
     }
     const entry_report message{.open = callbacks_.open_requests(),
-                               .document = documents_.in_force.number,
+                               .document = config::newest_held(documents_),
                                .servers_fingerprint = list_.fingerprint,
                                .servers_age = now() - list_.read,
                                .entry_instances = entry_instances_};
@@ -176,7 +176,7 @@
     }
     const auto peer = peers_[random_() % peers_.size()];
     const entry_report message{.open = {.dispatcher = self_},
-                               .document = documents_.in_force.number,
+                               .document = config::newest_held(documents_),
                                .servers_fingerprint = list_.fingerprint,
                                .servers_age = now() - list_.read,
                                .entry_instances = entry_instances_};
--- a/tests/deployment_parts.hpp
+++ b/tests/deployment_parts.hpp
@@ -62,6 +62,11 @@
         const std::lock_guard lock(mutex_);
         return updates_sent_;
     }
+    /// Number of reports that state an older document than this instance has.
+    int reports_that_lack_it() {
+        const std::lock_guard lock(mutex_);
+        return reports_that_lack_it_;
+    }
     /// Acts as the leader: grants the first server, and the second one to instances that return a
     /// grant unused.
     void grant_first(const scripted_server& first, const scripted_server& second) {
@@ -100,6 +105,7 @@
             update.newest = config::newest_document{.number = document_.number};
         }
         gateway::add_server_list(list_, *report, runtime::now(), update);
+        reports_that_lack_it_ += report->document < document_.number ? 1 : 0;
         ++updates_sent_;
         reply({.known = true, .payload = gateway::pack(update)});
     }
@@ -119,6 +125,7 @@
     config::document document_;
     bool knows_newest_{true};
     int updates_sent_{0};
+    int reports_that_lack_it_{0};
 };
 
 inline std::string answer_with(const received_request& to, const std::string& status,
--- a/tests/unit-deployment_control.cpp
+++ b/tests/unit-deployment_control.cpp
@@ -79,6 +79,29 @@
     EXPECT_EQ(d.call("GET", "/nowhere/x", "", {}).status, 404U);
 }
 
+// After a restart of all instances, each entry instance got the whole document with every answer as
+// long as no leader had confirmed it: some megabytes a second on a link of ten megabits.
+TEST(Deployment, ARestartedEntryInstanceGetsAnUnconfirmedManifestOnce) {
+    const auto server = make_healthy_server("i-1");
+    stub_control_instance control(server);
+    platform_deployment d;
+    d.add_server(server, "s");
+    control.start(d.control_wire());
+    control.set_document(5, make_manifest(5));
+    control.set_knows_newest(false);
+    d.start_entry(0);
+    ASSERT_TRUE(wait_until([&] { return control.updates_sent() > control.reports_that_lack_it(); }))
+        << "every answer brings the whole document";
+    EXPECT_EQ(d.ready().status, 503U) << "it was reported only once it was in force";
+    const auto before = control.reports_that_lack_it();
+    const auto answers = control.updates_sent();
+    ASSERT_TRUE(wait_until([&] { return control.updates_sent() > answers + 5; }));
+    control.set_knows_newest(true);
+    ASSERT_TRUE(wait_until([&] { return d.ready().status == 200; }));
+    EXPECT_EQ(d.call("GET", "/safe/x", "", {}).status, 200U);
+    EXPECT_EQ(control.reports_that_lack_it(), before);
+}
+
 // An entry instance that had missed the last document answered 404 for its routes as long as no
 // leader was in reach. Callers don't return after a 404.
 TEST(Deployment, AnEntryInstanceWithoutALeaderRefusesNothingForGood) {
--- a/tests/unit-document_tracker.cpp
+++ b/tests/unit-document_tracker.cpp
@@ -119,6 +119,21 @@
     EXPECT_EQ(third.in_force.number.value, 0U) << "the confirmation is too old";
 }
 
+// Senders leave out a document that is reported to them, so its confirmation comes without it.
+TEST(DocumentTracker, AStoredDocumentIsPutInForceByAConfirmationAlone) {
+    auto tracker = make_tracker();
+    handle(tracker, unconfirmed(6, document_source::control_instance), start);
+    handle(tracker, {.newest = newest_document{.number = {5}}, .requested = start}, start);
+    EXPECT_EQ(tracker.in_force.number.value, 0U) << "6 may be newer than what this sender knows";
+    handle(tracker,
+           {.newest = newest_document{.number = {6}, .age = seconds{3}}, .requested = start},
+           start);
+    EXPECT_EQ(tracker.in_force.number.value, 0U) << "the confirmation is too old";
+    handle(tracker, {.newest = newest_document{.number = {6}}, .requested = start}, start);
+    EXPECT_EQ(tracker.in_force.number.value, 6U);
+    EXPECT_TRUE(is_confirmed(tracker, start));
+}
+
 TEST(DocumentTracker, KeepsTheNewestUnconfirmedDocument) {
     auto tracker = make_tracker();
     handle(tracker, unconfirmed(4, document_source::control_instance), start);
