--- a/soak/processes.py
+++ b/soak/processes.py
@@ -8,6 +8,7 @@
 import time
 
 GRACE_S = 6.0  # `grace_s` of the settings: the process exits within this time after SIGTERM
+MAX_FOUNDERS = 3
 
 
 class Instance:
@@ -27,7 +28,7 @@
         d = self.deployment
         deployment = {
             "founders": [f"127.{d.subnet}.1.{i + 1}:{d.control_port}"
-                         for i in range(d.control_count)],
+                         for i in range(min(d.control_count, MAX_FOUNDERS))],
             "first_start": first_start, "server_list": f"127.0.0.1:{d.list_port}",
             "server_list_rate": 40.0, "grace_s": int(GRACE_S), "quota_overage": 0.1,
             "quota_slack": d.quota_slack, "quota_window_s": 8}
@@ -50,12 +51,14 @@
         file.write_text(self.settings(first_start))
         self.start_count += 1
         self.exit_expected = False
-        log = open(self.folder / "log.txt", "ab")
-        self.process = await asyncio.create_subprocess_exec(
-            str(self.deployment.daemon), str(file), stdout=log, stderr=log)
-        log.close()
+        self.process = await self.launch(file)
         asyncio.create_task(self.watch(self.process))
 
+    async def launch(self, settings_file):
+        with open(self.folder / "log.txt", "ab") as log:
+            return await asyncio.create_subprocess_exec(
+                str(self.deployment.daemon), str(settings_file), stdout=log, stderr=log)
+
     async def watch(self, process):
         code = await process.wait()
         if process is self.process and not self.exit_expected:
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -43,6 +43,9 @@
 class Deployment:
     """The deployment under test, the test doubles around it, and the schedule of faults."""
 
+    instance_type = Instance
+    services = ["s"] * 4  # one server each
+
     def __init__(self, options, folder):
         self.options, self.folder = options, folder
         self.daemon = pathlib.Path(options.daemon).resolve()
@@ -64,10 +67,12 @@
         self.server_list = ServerList(self)
         await self.server_list.start()
         self.list_port = self.server_list.port
-        for _ in range(4):
-            await self.add_server()
-        self.control_instances = [Instance("control", i, self) for i in range(self.control_count)]
-        self.entry_instances = [Instance("entry", i, self) for i in range(self.options.size)]
+        for service in self.services:
+            await self.add_server(service)
+        self.control_instances = [self.instance_type("control", i, self)
+                                  for i in range(self.control_count)]
+        self.entry_instances = [self.instance_type("entry", i, self)
+                                for i in range(self.options.size)]
         for instance in self.entry_instances:
             instance.shutting_down = False
         for instance in self.control_instances + self.entry_instances:
@@ -79,8 +84,8 @@
             await asyncio.sleep(0.1)
         return False
 
-    async def add_server(self):
-        server = Server(f"i-{len(self.servers)}", self, "s")
+    async def add_server(self, service="s"):
+        server = Server(f"i-{len(self.servers)}", self, service)
         await server.start()
         server.listed_state = "ready"
         self.servers.append(server)
@@ -366,16 +371,21 @@
 
     async def read_back(self):
         for instance in self.control_instances:
-            try:
-                status, body, complete = await self.http(
-                    instance.address, self.control_port,
-                    b"GET /Config.Get HTTP/1.1\r\nHost: x\r\n\r\n", 2.0)
-            except (OSError, TimeoutError):
-                continue
-            if complete and status == 200:
-                return json.loads(body)["version"]
+            version = await self.read_from(instance)
+            if version is not None:
+                return version
         return None
 
+    async def read_from(self, instance):
+        """Returns the version that a control instance reads back, None without an answer."""
+        try:
+            status, body, complete = await self.http(
+                instance.address, self.control_port,
+                b"GET /Config.Get HTTP/1.1\r\nHost: x\r\n\r\n", 2.0)
+        except (OSError, TimeoutError):
+            return None
+        return json.loads(body)["version"] if complete and status == 200 else None
+
     def report(self, schedule):
         kinds = sorted({promise for promise, _ in self.checker.violations})
         print(f"soak seed={self.options.seed} seconds={self.options.seconds} "
