Soak: a leader that was stopped runs again while the others are down

Now it may run on: the leader is stopped, others lead and acknowledge documents, all but it are killed, and it goes on (`orphan`).

An instance that is to be removed as absent is away for 9.5 s at least, not for half of that. `--kinds` draws faults of some kinds only.

--- a/soak/incident.py
+++ b/soak/incident.py
@@ -20,7 +20,7 @@
                   "acknowledgement", "route"]
 QUIET_KINDS = ["lost", "resend", "publish"]
 KINDS = QUIET_KINDS + ["publish", "kill", "kill", "away", "away", "disk_leader", "disk_leader",
-                       "disk_other", "stop_leader", "stop_leader"]
+                       "disk_other", "stop_leader", "stop_leader", "orphan"]
 ABSENT_S = 9.5  # a control instance without contact is removed from a group of four after 8 s
 CALM_S = 6.0  # without faults for this long, the newest document is in force everywhere
 PUT_TIMEOUT_S = 3.5
@@ -40,6 +40,7 @@
             str(self.deployment.daemon), str(settings_file), stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT, restore_signals=False, limit=1 << 20)
         self.leads = False
+        self.begin_disturbance()[1] = time.monotonic() + 1.0
         self.log_task = asyncio.create_task(self.keep_log(process))
         return process
 
@@ -186,13 +187,14 @@
         draw, schedule, at = random.Random(self.options.seed), [], 1.0
         if self.options.controls > 3:  # others have to be in contact meanwhile
             schedule.append((at, "absent", draw.random()))
+        kinds = self.options.kinds.split(",") if self.options.kinds else KINDS
         while at < self.options.seconds - 3.0:
-            quiet = self.options.controls > 3 and at < ABSENT_S + 1.0
-            schedule.append((round(at, 2), draw.choice(QUIET_KINDS if quiet else KINDS),
+            quiet = self.options.controls > 3 and at < ABSENT_S + 3.0
+            schedule.append((round(at, 2), draw.choice(QUIET_KINDS if quiet else kinds),
                              draw.random()))
             at += draw.choice([0.3, 1.0, 2.5])
-        if self.plant == "resend":
-            schedule = [(2.0, "publish", 0.0), (3.0, "resend", 0.0)]
+        if self.plant in ("resend", "acknowledgement"):  # seen without faults only
+            schedule = [(6.0, "publish", 0.0), (7.0, "resend", 0.0)]
         return schedule[:self.options.prefix] if self.options.prefix else schedule
 
     async def inject(self, kind, draw):
@@ -212,11 +214,14 @@
         running = [i for i in self.control_instances if i.is_running() and not i.down]
         others = [i for i in running if i is not leader]
         if kind in ("away", "absent") and running:
-            await self.take_away(rnd.choice(running), rnd, 2.0 if kind == "away" else ABSENT_S)
+            await self.take_away(rnd.choice(running), rnd,
+                                 (1.0, 2.0) if kind == "away" else (ABSENT_S, ABSENT_S + 2.0))
         elif kind == "stop_leader" and leader:
             await self.publish()
             await asyncio.sleep(rnd.choice([0.0, 0.01, 0.2]))
             await self.pause(leader, rnd.uniform(1.0, 4.0))
+        elif kind == "orphan" and leader:
+            await self.orphan_leader(leader, rnd)
         elif kind == "disk_leader" and leader:
             await self.fill_disk(leader, rnd)
         elif kind == "disk_other" and others:
@@ -254,16 +259,30 @@
             unlimited = (resource.RLIM_INFINITY, resource.RLIM_INFINITY)
             resource.prlimit(process.pid, resource.RLIMIT_FSIZE, unlimited)
 
-    async def take_away(self, absent, rnd, seconds):
+    async def take_away(self, absent, rnd, span_s):
         """Something is published while one control instance is away; it is back before others."""
         stopped = []  # by this fault, which then starts it
         if rnd.random() < 0.5:
             stopped = await self.kill([absent])
         else:
-            self.in_background(self.pause(absent, 2 * PUBLISH_TIMEOUT_S + seconds))
-        await asyncio.sleep(rnd.uniform(0.5, 1.0) * seconds)
+            self.in_background(self.pause(absent, span_s[1] + 3 * PUBLISH_TIMEOUT_S))
+        await asyncio.sleep(rnd.uniform(*span_s))
         await self.kill_after_acknowledgement(rnd, stopped, absent)
 
+    async def orphan_leader(self, leader, rnd):
+        """A leader that was stopped runs again, and those that followed others meanwhile don't."""
+        process, span = leader.process, leader.begin_disturbance()
+        leader.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(rnd.uniform(0.0, 2.0))
+        restarting = asyncio.create_task(self.kill_after_acknowledgement(rnd, [], None, [leader]))
+        others = [i for i in self.control_instances if i is not leader]
+        while not restarting.done() and not all(i.down for i in others):
+            await asyncio.sleep(0.005)
+        if process is leader.process:
+            leader.send_signal(signal.SIGCONT)
+        span[1] = time.monotonic()
+        await restarting
+
     async def kill(self, instances):
         chosen = [i for i in instances if not i.down]
         for instance in chosen:
@@ -271,12 +290,13 @@
         await asyncio.gather(*[i.stop(signal.SIGKILL) for i in chosen if i.process])
         return chosen
 
-    async def kill_after_acknowledgement(self, rnd, stopped, first):
+    async def kill_after_acknowledgement(self, rnd, stopped, first, spared=()):
         await self.publish_several(rnd)
         await asyncio.sleep(rnd.choice([0.0, 0.005, 0.03, 0.2]))
         half = rnd.sample(self.entry_instances, len(self.entry_instances) // 2)
         entries = half if rnd.random() < 0.3 else self.entry_instances
-        stopped = stopped + await self.kill(self.control_instances + entries)
+        stopped = stopped + await self.kill(
+            [i for i in self.control_instances + entries if i not in spared])
         rnd.shuffle(stopped)
         # Entry instances that are back before most of the control group have only each other.
         entries_first = first is not None or rnd.random() < 0.5
@@ -324,7 +344,7 @@
                                           f"{CALM_S:.0f} s after the last fault"))
 
     def report(self, schedule):
-        faults = {k: sum(kind == k for _, kind, _ in schedule) for k in dict.fromkeys(KINDS)}
+        faults = dict(collections.Counter(kind for _, kind, _ in schedule))
         starts = sum(i.start_count for i in self.control_instances + self.entry_instances)
         print(f"incident seed={self.options.seed} seconds={self.options.seconds} "
               f"controls={self.control_count} entries={self.options.size} faults={faults} "
@@ -354,6 +374,7 @@
     parser.add_argument("--keep")
     parser.add_argument("--plant", choices=PLANTED_FAULTS)
     parser.add_argument("--prefix", type=int, default=0)
+    parser.add_argument("--kinds", help="draws these kinds of faults only, separated by commas")
     options = parser.parse_args()
     if not pathlib.Path(options.daemon).exists():
         parser.error("daemon not found at the given path")
