--- a/include/tarragonspar/runtime/control_service.hpp
+++ b/include/tarragonspar/runtime/control_service.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <deque>
 #include <functional>
 #include <map>
@@ -85,6 +86,17 @@
     /// @param done  receives the reply, or nothing when it is unknown whether it was applied
     void submit(control::command command, std::function<void(std::optional<control::reply>)> done);
 
+    /// @brief Finds out, by a linearizable read through the group's leader, whether the
+    /// configuration in force here is the newest accepted one, and applies a newer one.
+    /// @param done  receives false when no leader has confirmed it in time; not called once the
+    /// service has been stopped
+    void confirm_configuration(std::function<void(bool)> done);
+
+    /// @brief Whether a leader has confirmed the configuration in force since the start.
+    [[nodiscard]] bool is_configuration_confirmed() const {
+        return is_confirmed_;
+    }
+
     /// @brief Sets the listeners; call it before `start`. They are called on the service's thread
     /// when a document comes into force here, when the leader or the group changes, and after
     /// each write to the disk.
@@ -98,6 +110,13 @@
     /// @param done  receives nothing when it can't be proved now that the document is the newest
     void read_published(std::function<void(std::optional<config::document>)> done);
 
+    /// @brief When this instance's lead ends unless a majority confirms it again, by
+    /// `now_with_suspension`; can be called on any thread, and while the service's thread waits.
+    /// @return `time_point::min()` while the replica does not lead; see `consensus::lead_lease_end`
+    [[nodiscard]] time_point lead_lease_end() const;
+    /// @brief Length of a lease: since the last message that a majority has answered was sent.
+    [[nodiscard]] duration lead_lease_length() const;
+
     /// @brief Handles messages of another replica.
     void on_messages(const std::string& bytes);
 
@@ -112,6 +131,12 @@
     void with_status(std::function<void(std::string)> callback);
 
 private:
+    /// The newest accepted revision at a point of time, as stated by a leader.
+    struct newest_revision {
+        revision number;
+        time_point asked_at;
+    };
+
     struct waiting_proposal {
         consensus::term_number term;
         std::function<void(std::optional<control::reply>)> done;
@@ -129,7 +154,20 @@
 
     void find_identity();
     void on_peer_states(std::size_t queried, const std::vector<wire::answer>& answers);
-    void start_replica(std::uint32_t disk, bool founding);
+    /// @brief Stores the disk number on a new disk and starts the replica under it.
+    void take_identity(std::uint32_t disk);
+    /// @brief Starts the replica from its files.
+    /// @param all_seated  closed groups: every founder has its seat, so elections may be held
+    void start_replica(std::uint32_t disk, bool all_seated);
+    [[nodiscard]] std::uint32_t draw_disk_number();
+    /// @brief Opens the replica's files; returns the error, if any.
+    [[nodiscard]] std::optional<storage::file_error> open_store(consensus::durable_state& stored);
+    /// @brief Open groups: leaves damaged files in place until a leader is confirmed.
+    void handle_damage(const storage::file_error& damage, const consensus::durable_state& readable);
+    void find_leader();
+    void confirm_leader(const wire::answer& status);
+    /// @brief Sets the damaged files aside and joins under a new identity.
+    void replace_identity();
     void schedule_tick();
     void tick();
     void step(const consensus::event& event);
@@ -147,6 +185,7 @@
     void compact_if_due();
     void request_join();
     void remove_absent_voter();
+    /// @brief Publishes the lease and reports the group where it has changed.
     void notify_group_change();
     void on_read_ready(const consensus::read_ready& ready);
     void read_locally(std::function<void(std::optional<config::document>)> done);
@@ -161,6 +200,16 @@
     void submit_locally(std::string bytes, std::function<void(std::optional<std::string>)> done);
     void submit_to_leader(submission pending);
     void publish_configuration();
+    void answer_configuration_query(const std::string& payload,
+                                    std::function<void(wire::answer)> reply);
+    void try_confirm();
+    void ask_leader_for_configuration();
+    /// @brief Handles a leader's answer to a query that was sent at `asked_at`, when `known` was
+    /// the revision in force here.
+    void on_newest_configuration(const std::string& payload, revision known, time_point asked_at);
+    void on_newest_revision(revision newest, time_point asked_at);
+    void check_confirmation();
+    void end_confirmation(bool confirmed);
     void apply_configuration(const std::string& payload);
     void add_recent_change(const config::change& accepted, revision number);
     [[nodiscard]] std::string answer_configuration(const std::string& payload) const;
@@ -172,10 +221,13 @@
     boost::asio::thread_pool pool_{1};
     boost::asio::steady_timer tick_timer_;
     boost::asio::steady_timer restart_timer_; ///< restarts a replica whose disk failed
+    boost::asio::steady_timer leader_search_timer_;
     std::mt19937_64 random_;
     std::optional<consensus::replica> replica_;
     std::optional<control::replica_store> store_;
     bool failed_{false};
+    bool is_damaged_{false};            ///< the files are damaged and no leader is confirmed yet
+    std::vector<instance_id> contacts_; ///< asked for a leader while the files are damaged
     std::optional<std::uint32_t> disk_;
     bool stopped_{false};
     control::state state_;
@@ -191,7 +243,14 @@
     group_listener on_group_;
     disk_listener on_disk_;
     group_view reported_;
+    std::atomic<time_point> lead_lease_end_{time_point::min()};
     bool configuration_requested_{false};
+    boost::asio::steady_timer confirm_timer_;
+    time_point confirm_deadline_{};
+    std::vector<std::function<void(bool)>> waiting_confirmations_;
+    std::optional<newest_revision> unapplied_newest_; ///< stated by a leader, not in force here yet
+    std::optional<time_point> confirmed_at_; ///< the configuration was then the newest accepted one
+    std::atomic<bool> is_confirmed_{false};
     time_point next_join_{};
     mutable std::mutex published_mutex_;
     std::shared_ptr<const config::state> published_;
--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -50,7 +50,8 @@
 control_instance::control_instance(settings::instance_settings settings,
                                    std::unique_ptr<const dialect> protocol)
     : settings_(std::move(settings)), protocol_(std::move(protocol)), context_(1),
-      work_guard_(asio::make_work_guard(context_)), random_(std::random_device{}()) {
+      work_guard_(asio::make_work_guard(context_)), lease_timer_(context_),
+      random_(std::random_device{}()) {
     node_ = std::make_unique<wire::node>(make_node_options(settings_),
                                          static_cast<wire::handler&>(*this));
     runtime::control_options options;
@@ -157,16 +158,11 @@
     const auto led_before = group_.leads;
     group_ = std::move(group);
     metrics_.set_control_replica(group_.runs, group_.is_voter, group_.leads);
-    schedules_ = schedules_ && group_.leads;
     if (group_.leads && !led_before) {
-        leads_since_ = now();
-        expected_dispatchers_ = 0;
         list_ = {};
+        lost_lease_at_ = {};
     }
-    if (!group_.leads && led_before) {
-        // Dispatchers query another instance when the answer to their query is "not known".
-        grant_service_->clear_pending();
-    }
+    watch_lead();
     directory_->set_wanted(group_.leads && !shutting_down_);
 }
 
@@ -195,8 +191,7 @@
 
 void control_instance::start_scheduling_if_ready() {
     const auto leading_for = now() - leads_since_;
-    if (schedules_ || !group_.is_current || list_.fingerprint == 0 ||
-        leading_for <= takeover_min_wait) {
+    if (schedules_ || !leads_ || list_.fingerprint == 0 || leading_for <= takeover_min_wait) {
         return;
     }
     const auto reporting = static_cast<double>(grant_service_->dispatchers().size());
@@ -213,7 +208,7 @@
 }
 
 bool control_instance::schedules() const {
-    return schedules_ && !shutting_down_;
+    return schedules_ && holds_lead() && !shutting_down_;
 }
 
 // --- queries of other instances ---
@@ -225,7 +220,8 @@
         reply({});
         return;
     }
-    if (group_.leads) {
+    update_lead();
+    if (leads_) {
         grant_service_->reconcile(report->open);
         expected_dispatchers_ = std::max(expected_dispatchers_, report->entry_instances);
         start_scheduling_if_ready();
@@ -234,12 +230,13 @@
     }
     control_update update;
     update.schedules = schedules();
-    update.leader = group_.leader;
+    // Without the lease another instance may lead, which this one has not heard of.
+    update.leader = group_.leads && !leads_ ? std::nullopt : group_.leader;
     update.members = group_.members;
     update.members.push_back(settings_.id);
     const auto dispatchers = grant_service_->dispatchers();
     update.entry_instances = static_cast<std::uint32_t>(dispatchers.size());
-    if (group_.leads && now() - leads_since_ < expected_count_lifetime) {
+    if (leads_ && now() - leads_since_ < expected_count_lifetime) {
         update.entry_instances = std::max(update.entry_instances, expected_dispatchers_);
     }
     std::sample(dispatchers.begin(), dispatchers.end(), std::back_inserter(update.peers),
@@ -247,7 +244,7 @@
     if (newest_.number > report->document) {
         update.document = newest_;
     }
-    if (group_.is_current) {
+    if (leads_) {
         update.newest = config::newest_document{.number = newest_.number};
     }
     add_server_list(list_, *report, now(), update);
@@ -265,7 +262,11 @@
         handle_notice(*request->notice);
     }
     grant_service_->ask(request->work, request->previous,
-                        [reply = std::move(reply)](const dispatch::grant_result& result) {
+                        [this, reply = std::move(reply)](const dispatch::grant_result& result) {
+                            if (!schedules()) {
+                                reply({});
+                                return;
+                            }
                             reply({.known = true, .payload = pack(result)});
                         });
 }
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "tarragonspar/gateway/detail/answer_verdict.hpp"
 #include "tarragonspar/gateway/detail/replies.hpp"
 #include "tarragonspar/gateway/entry_instance.hpp"
 #include "tarragonspar/http/detail/serve.hpp"
@@ -27,6 +28,12 @@
     return head.status == status_ok && head.header("Content-Type").starts_with("text/event-stream");
 }
 
+/// Whether another server may continue a stream after an event. A safe request may only be repeated
+/// as a whole: the events of two runs don't belong together.
+bool may_be_continued(const config::route& route) {
+    return route.kind == config::request_kind::streaming && route.resumable;
+}
+
 } // namespace
 
 void entry_instance::watch_caller(const request_ptr& request, http::exchange& with) {
@@ -146,6 +153,9 @@
 asio::awaitable<void> entry_instance::relay(request_ptr request, http::exchange& with) {
     auto previous = dispatch::previous_grant::none;
     auto last = attempt_end::not_connected;
+    if (may_be_continued(*request->route)) {
+        request->last_event = request->caller.resume_after;
+    }
     while (true) {
         const bool granted = co_await wait_for_grant(request, previous);
         if (!granted) {
@@ -247,17 +257,18 @@
     }
     const auto metadata = protocol_->read_metadata(*head);
     record_notices(*request, metadata);
-    // A refusal for another request implies nothing about this one.
-    const auto is_foreign =
-        !metadata.request_name.empty() && metadata.request_name != request->caller.name;
-    if (!is_foreign && (metadata.not_executed || head->status == status_misdirected)) {
+    const auto verdict = judge_answer(head->status, metadata, *request);
+    if (verdict == answer_verdict::declines) {
         request->may_have_run = ran_before;
         co_return attempt_end::not_executed;
     }
-    if (metadata.request_name != request->caller.name) {
-        telemetry::write(telemetry::log_line("answer_of_another_request")
+    if (verdict != answer_verdict::answers) {
+        const auto* event =
+            verdict == answer_verdict::foreign ? "answer_of_another_request" : "answer_unclear";
+        telemetry::write(telemetry::log_line(event)
                              .add("id", request->caller.name)
                              .add("answered", metadata.request_name)
+                             .add("status", head->status)
                              .add("server", at.server_name));
         co_return attempt_end::failed;
     }
@@ -278,10 +289,9 @@
         return request.unreachable < max_unreachable;
     }
     // Only a request that the server did not run, or that may run twice, may go to another server.
-    // A started stream is continued only if it can be resumed.
     const auto safe_to_repeat = last == attempt_end::not_executed || request.work.idempotent;
     const auto resumable =
-        !request.response_started || (request.work.idempotent && request.last_event);
+        !request.response_started || (may_be_continued(*request.route) && request.last_event);
     if (!safe_to_repeat || !resumable || request.attempts >= request.route->max_attempts) {
         return false;
     }
