--- a/soak/incident.py
+++ b/soak/incident.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import collections
+import contextlib
 import json
 import pathlib
 import random
@@ -53,8 +54,13 @@
                 self.disk_failures += b"event=control_disk_failed" in line
 
     def fill_disk(self):
-        size = max((f.stat().st_size for f in (self.folder / "data").iterdir()), default=0)
-        resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE, (size, resource.RLIM_INFINITY))
+        files = (self.folder / "data").iterdir()
+        self.limit_files(max((f.stat().st_size for f in files), default=0))
+
+    def limit_files(self, size):
+        with contextlib.suppress(ProcessLookupError):  # it ended a moment ago
+            resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE,
+                             (size, resource.RLIM_INFINITY))
 
     def begin_disturbance(self):
         self.disturbances.append([time.monotonic(), float("inf")])
@@ -256,8 +262,7 @@
         self.in_background(self.publish_several(rnd))
         await asyncio.sleep(rnd.uniform(2.0, 8.0))
         if process is instance.process and instance.is_running():
-            unlimited = (resource.RLIM_INFINITY, resource.RLIM_INFINITY)
-            resource.prlimit(process.pid, resource.RLIMIT_FSIZE, unlimited)
+            instance.limit_files(resource.RLIM_INFINITY)
 
     async def take_away(self, absent, rnd, span_s):
         """Something is published while one control instance is away; it is back before others."""
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -1,5 +1,6 @@
 """Instances under test, as separate processes: started, signalled and monitored by id."""
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -67,7 +68,8 @@
 
     def send_signal(self, signum):
         if self.is_running():
-            os.kill(self.process.pid, signum)
+            with contextlib.suppress(ProcessLookupError):  # it ended a moment ago
+                os.kill(self.process.pid, signum)
 
     def is_running(self):
         return self.process is not None and self.process.returncode is None
