--- a/tests/unit-deployment_control.cpp
+++ b/tests/unit-deployment_control.cpp
@@ -80,7 +80,7 @@
 }
 
 // After a restart of all instances, each entry instance got the whole document with every answer as
-// long as no leader had confirmed it: some megabytes a second on a link of ten megabits.
+// long as no leader had confirmed it.
 TEST(Deployment, ARestartedEntryInstanceGetsAnUnconfirmedManifestOnce) {
     const auto server = make_healthy_server("i-1");
     stub_control_instance control(server);
