The log names a new leader as the leader that sent a document

Someone on call reads in document_in_force whether a document came from the leader.

Cause: from_leader was taken from whether the sender grants requests, which a leader begins some hundred milliseconds later, once it has the list of servers and reports. A control instance states the newest document only while it holds the lead, so that statement tells.

Test: ControlLink ANewLeaderIsALeaderAsSourceOfADocument; before the fix tests/unit-control_link.cpp:172: Failure Value of: origin->leads Actual: false

--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -243,7 +243,10 @@
     }
     const auto next = config::receive(documents_, documents, now_with_suspension());
     if (next) {
-        callbacks_.on_document(*next, {.from = from, .leads = update.schedules});
+        // Of the control instances, only a leader states what is newest.
+        const auto leads = documents.source == config::document_source::control_instance &&
+                           documents.newest.has_value();
+        callbacks_.on_document(*next, {.from = from, .leads = leads});
     } else if (documents.content && documents.content->number == documents_.candidate.number) {
         candidate_from_ = from;
     }
--- a/tests/unit-control_link.cpp
+++ b/tests/unit-control_link.cpp
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
+#include "system_fixture.hpp"
 #include "tarragonspar/gateway/control_link.hpp"
+#include "tarragonspar/gateway/query_handler.hpp"
 #include "tarragonspar/runtime/clock.hpp"
 
 namespace {
@@ -24,6 +26,30 @@
     return {.id = {id}, .name = "i-" + std::to_string(id), .offers = {"m"}, .slots = 4};
 }
 
+/// Answers each report like a leader that does not grant requests yet.
+struct new_leader : gateway::query_handler {
+    void on_query(instance_id, wire::topic, std::string,
+                  std::function<void(wire::answer)> reply) override {
+        const gateway::control_update update{.document =
+                                                 config::document{.number = {5}, .content = "{}"},
+                                             .newest = config::newest_document{.number = {5}}};
+        reply({.known = true, .payload = gateway::pack(update)});
+    }
+};
+
+gateway::control_link::callbacks ignore_all() {
+    gateway::control_link::callbacks handlers;
+    handlers.open_requests = [] { return dispatch::dispatcher_report{}; };
+    handlers.used = [] { return admission::workspace_usage{}; };
+    handlers.on_document = [](const config::document&,
+                              const gateway::control_link::document_origin&) {};
+    handlers.on_confirmation = [](bool) {};
+    handlers.on_deployment_size = [](std::uint32_t) {};
+    handlers.on_servers = [] {};
+    handlers.on_list_wanted = [](bool) {};
+    return handlers;
+}
+
 struct fixture {
     boost::asio::io_context context;
     null_handler node_handler;
@@ -31,18 +57,9 @@
     std::shared_ptr<gateway::control_link> link;
 
     fixture() {
-        gateway::control_link::callbacks handlers;
-        handlers.open_requests = [] { return dispatch::dispatcher_report{}; };
-        handlers.used = [] { return admission::workspace_usage{}; };
-        handlers.on_document = [](const config::document&,
-                                  const gateway::control_link::document_origin&) {};
-        handlers.on_confirmation = [](bool) {};
-        handlers.on_deployment_size = [](std::uint32_t) {};
-        handlers.on_servers = [] {};
-        handlers.on_list_wanted = [](bool) {};
-        link = std::make_shared<gateway::control_link>(
-            context, instance_id{1}, node, std::vector<instance_id>{}, std::chrono::seconds{8},
-            std::move(handlers));
+        link = std::make_shared<gateway::control_link>(context, instance_id{1}, node,
+                                                       std::vector<instance_id>{},
+                                                       std::chrono::seconds{8}, ignore_all());
     }
 
     /// Returns the name of the server that a request is granted, or an empty string.
@@ -121,3 +138,36 @@
     EXPECT_EQ(f.granted(), "i-2");
     EXPECT_EQ(f.granted(), "i-2");
 }
+
+// The log of a deployment that had restarted named a leader as one that did not lead.
+TEST(ControlLink, ANewLeaderIsALeaderAsSourceOfADocument) {
+    const settings::endpoint at{.address = "127.0.0.1", .port = tarragonspar::testing::free_port()};
+    new_leader leader_handler;
+    wire::node leader({.self = {2}, .listen = at}, leader_handler);
+    ASSERT_EQ(leader.start(), "");
+    null_handler own_handler;
+    wire::node own({.self = {1},
+                    .listen = {.address = "127.0.0.1", .port = tarragonspar::testing::free_port()},
+                    .locate = [&](instance_id) { return std::optional{at}; }},
+                   own_handler);
+    ASSERT_EQ(own.start(), "");
+    boost::asio::io_context context;
+    std::optional<gateway::control_link::document_origin> origin;
+    auto handlers = ignore_all();
+    handlers.on_document = [&](const config::document&,
+                               const gateway::control_link::document_origin& from) {
+        origin = from;
+        context.stop();
+    };
+    const auto link = std::make_shared<gateway::control_link>(
+        context, instance_id{1}, own, std::vector<instance_id>{{2}}, std::chrono::seconds{8},
+        std::move(handlers));
+    link->start();
+    context.run_for(std::chrono::seconds{10});
+    link->stop();
+    own.stop();
+    leader.stop();
+    ASSERT_TRUE(origin);
+    EXPECT_EQ(origin->from.value, 2U);
+    EXPECT_TRUE(origin->leads);
+}
