An impossible age of a confirmation is bounded when it is read

A negative age in a message between instances would have confirmed a document for ever, and the largest one overflows; no sound instance sends either (found by the reviewer, in the code).

--- a/src/gateway/reports.cpp
+++ b/src/gateway/reports.cpp
@@ -1,5 +1,7 @@
 #include "tarragonspar/gateway/reports.hpp"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include "tarragonspar/telemetry/log.hpp"
@@ -16,6 +18,9 @@
 /// interval between two reads of it.
 constexpr duration min_age_gain = std::chrono::milliseconds{200};
 
+/// Largest age of a statement that is read as such; no statement counts for nearly as long.
+constexpr duration max_stated_age = std::chrono::hours{1};
+
 /// Decodes a value. Returns nothing if the bytes can't be decoded, whatever exception the reader
 /// throws: an unknown enumerator name does not throw a JSON exception.
 template <class Read>
@@ -151,9 +156,10 @@
                     .number = value.document ? value.document->number : reported};
             }
         } else if (const auto& newest = in.at(newest_index); !newest.is_null()) {
-            value.newest =
-                config::newest_document{.number = {newest.at(0).get<std::uint64_t>()},
-                                        .age = duration{newest.at(1).get<duration::rep>()}};
+            value.newest = config::newest_document{
+                .number = {newest.at(0).get<std::uint64_t>()},
+                .age = std::clamp(duration{newest.at(1).get<duration::rep>()}, duration{},
+                                  max_stated_age)};
         }
         return value;
     });
--- a/tests/unit-decoders.cpp
+++ b/tests/unit-decoders.cpp
@@ -160,6 +160,17 @@
     EXPECT_FALSE(current->newest) << "this version states it itself";
 }
 
+// A negative age would confirm a document for ever, and the largest one would overflow.
+TEST(Decoders, AnImpossibleAgeOfAConfirmationIsBounded) {
+    for (const auto age : {duration::min(), duration{-1}, duration::max()}) {
+        const auto update = gateway::unpack_control_update(
+            gateway::pack({.newest = config::newest_document{.number = {5}, .age = age}}));
+        ASSERT_TRUE(update && update->newest);
+        EXPECT_GE(update->newest->age, duration{});
+        EXPECT_LE(update->newest->age, std::chrono::hours{24});
+    }
+}
+
 TEST(Decoders, MutatedWorkOfTheWireProtocol) {
     decode_mutations(wire::pack(make_work(), now), 7, [](const std::string& bytes) {
         static_cast<void>(wire::unpack_work(bytes, now));
