--- a/include/tarragonspar/gateway/relayed_request.hpp
+++ b/include/tarragonspar/gateway/relayed_request.hpp
@@ -19,7 +19,10 @@
     done,          ///< the caller has its final answer
     not_connected, ///< nothing was sent
     not_executed,  ///< the server reported that it did not run the request
-    failed,  ///< the server failed or closed the connection early; it may have run the request
+    failed, ///< the server failed; it may have run the request
+    /// The server ended the connection before the end of its answer, as a crash does; it may have
+    /// run the request.
+    server_lost,
     stopped, ///< the caller disconnected or the deadline passed
 };
 
@@ -74,4 +77,9 @@
     }
 };
 
+/// @brief Returns how an attempt ended whose connection failed before the end of the answer.
+[[nodiscard]] inline attempt_end end_of_broken_answer(const relayed_request& request) {
+    return request.call->was_lost() ? attempt_end::server_lost : attempt_end::failed;
+}
+
 } // namespace tarragonspar::gateway
--- a/include/tarragonspar/http/backend_call.hpp
+++ b/include/tarragonspar/http/backend_call.hpp
@@ -79,9 +79,19 @@
     /// subject to the same size limit as a head.
     boost::asio::awaitable<body_part> read_body();
 
+    /// @brief Whether the body has neither a length nor chunks and ends with the connection, so that
+    /// its end does not tell whether the server finished it.
+    [[nodiscard]] bool ends_with_connection() const;
+
     /// @brief Closes the connection; most servers then abort the request.
     void close();
 
+    /// @brief Whether the server closed or reset the connection before its response was complete.
+    /// False after a time-out, after bytes that are not valid HTTP, and if this side closed it.
+    [[nodiscard]] bool was_lost() const noexcept {
+        return lost_;
+    }
+
 private:
     using request_type = beast_http::request<beast_http::string_body>;
 
@@ -94,6 +104,7 @@
     std::unique_ptr<beast_http::request_serializer<beast_http::string_body>> serializer_;
     std::unique_ptr<beast_http::response_parser<beast_http::buffer_body>> parser_;
     bool head_request_{false};
+    bool lost_{false};
 };
 
 /// @brief Whether a header is hop-by-hop and must not be forwarded.
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -1,6 +1,7 @@
 // Relays a caller's request to backend servers, from its arrival to its end.
 
 #include <algorithm>
+#include <sstream>
 
 #include "tarragonspar/gateway/detail/answer_verdict.hpp"
 #include "tarragonspar/gateway/detail/replies.hpp"
@@ -34,6 +35,26 @@
     return route.kind == config::request_kind::streaming && route.resumable;
 }
 
+/// Returns the shared parts of a prompt as hexadecimal keys; the last one is the request's own.
+std::string shared_parts_text(const caller_request& from) {
+    std::ostringstream text;
+    text << std::hex;
+    for (std::size_t i = 0; i + 1 < from.parts.size(); ++i) {
+        text << (i > 0 ? "," : "") << from.parts[i].key;
+    }
+    return text.str().empty() ? "none" : text.str();
+}
+
+void log_server_lost(const relayed_request& request) {
+    telemetry::write(telemetry::log_line("server_lost")
+                         .add("id", request.caller.name)
+                         .add("server", request.current_grant->server_name)
+                         .add("address", request.current_grant->address)
+                         .add("events", request.events)
+                         .add("running_ms", to_milliseconds(now() - request.granted_at))
+                         .add("parts", shared_parts_text(request.caller)));
+}
+
 } // namespace
 
 void entry_instance::watch_caller(const request_ptr& request, http::exchange& with) {
@@ -167,10 +188,14 @@
             request->call->close();
             request->call.reset();
         }
+        if (last == attempt_end::server_lost) {
+            log_server_lost(*request);
+        }
         const auto retry = request->retry_allowed || may_retry(*request, last);
         request->retry_allowed = false;
         const auto server_fault = last == attempt_end::not_connected ||
-                                  last == attempt_end::not_executed || last == attempt_end::failed;
+                                  last == attempt_end::not_executed ||
+                                  last == attempt_end::failed || last == attempt_end::server_lost;
         if (!retry) {
             report_outcome(*request, last, server_fault);
             break;
@@ -185,6 +210,7 @@
                              .add("server", request->current_grant->server_name)
                              .add("cause", last == attempt_end::not_connected  ? "not_connected"
                                            : last == attempt_end::not_executed ? "not_executed"
+                                           : last == attempt_end::server_lost  ? "server_lost"
                                                                                : "failed")
                              .add("attempts", request->attempts));
         request->current_grant.reset();
@@ -253,7 +279,7 @@
         co_return attempt_end::stopped;
     }
     if (!head) {
-        co_return attempt_end::failed;
+        co_return end_of_broken_answer(*request);
     }
     const auto metadata = protocol_->read_metadata(*head);
     record_notices(*request, metadata);
--- a/src/gateway/relay_answer.cpp
+++ b/src/gateway/relay_answer.cpp
@@ -65,7 +65,7 @@
                 with.abort();
                 co_return attempt_end::stopped;
             }
-            co_return attempt_end::failed;
+            co_return end_of_broken_answer(*request);
         }
         complete = part.complete;
         body += part.bytes;
@@ -129,8 +129,15 @@
             }
         }
         const auto is_oversized = splitter.unfinished() > max_event;
-        if (part.broken || is_oversized || (part.complete && splitter.unfinished() > 0)) {
-            co_return attempt_end::failed; // an incomplete event is dropped
+        if (part.broken) {
+            co_return end_of_broken_answer(*request); // an incomplete event is dropped
+        }
+        if (part.complete && splitter.unfinished() > 0) {
+            co_return request->call->ends_with_connection() ? attempt_end::server_lost
+                                                            : attempt_end::failed;
+        }
+        if (is_oversized) {
+            co_return attempt_end::failed;
         }
         if (part.complete) {
             break;
--- a/src/http/backend_call.cpp
+++ b/src/http/backend_call.cpp
@@ -44,6 +44,13 @@
     socket.set_option(tcp::no_delay(true), ignored);
 }
 
+/// Whether the peer ended the connection.
+bool is_ended_by_peer(const boost::system::error_code& error) {
+    return error == asio::error::eof || error == asio::error::connection_reset ||
+           error == asio::error::broken_pipe || error == beast_http::error::end_of_stream ||
+           error == beast_http::error::partial_message;
+}
+
 } // namespace
 
 bool is_hop_header(std::string_view name) noexcept {
@@ -132,6 +139,7 @@
         const auto space = buffer_.prepare(options_.read_bytes);
         const auto [error, size] = co_await socket_.async_read_some(space, detail::as_result);
         if (error) {
+            lost_ = is_ended_by_peer(error);
             co_return false;
         }
         buffer_.commit(size);
@@ -144,6 +152,7 @@
     });
     const auto [error, size] =
         co_await beast_http::async_read_header(socket_, buffer_, *parser_, detail::as_result);
+    lost_ = is_ended_by_peer(error);
     co_return !error;
 }
 
@@ -193,9 +202,14 @@
     body.size = 0;
     part.complete = !error && parser_->is_done();
     part.broken = static_cast<bool>(error);
+    lost_ = is_ended_by_peer(error);
     co_return part;
 }
 
+bool backend_call::ends_with_connection() const {
+    return parser_->need_eof();
+}
+
 void backend_call::close() {
     boost::system::error_code ignored;
     socket_.close(ignored);
