Prompt parts that crash servers are suspected, tried one at a time and quarantined

Cause: nothing related the loss of a server to what it was running. A request that lost its server was an ordinary failure of that server, was repeated at the next one, by the entry instance and by its caller, and new requests with the same part were sent as usual. Class of fault: query of death, blamed on servers instead of on the request. Ruled out: load or memory (a server with one running request crashed too), one crash causing the next (most requests were new).

Change: grants carry the keys of the prompt's shared parts; a lost server makes them suspects, a complete answer clears them, suspects run one at a time, and a part common to three separate crashes is quarantined. Evidence meets at the leader and goes to all entry instances; it survives a change of leader and is bounded in size and age.

--- a/include/tarragonspar/dispatch/detail/server_events.hpp
+++ b/include/tarragonspar/dispatch/detail/server_events.hpp
@@ -15,6 +15,17 @@
 [[nodiscard]] std::optional<time_point> backoff_until(const scheduler& source,
                                                       const work_item& work, time_point now);
 
+/// @brief Whether a request has a suspected prompt part that another running request has as well.
+[[nodiscard]] bool must_wait_for_trial(const scheduler& source, const work_item& work,
+                                       time_point now);
+
+/// @brief Whether a request would have to wait for such a request behind several others.
+[[nodiscard]] bool waits_too_long_for_trial(const scheduler& source, const work_item& work,
+                                            time_point now);
+
+/// @brief Refuses queued requests with a quarantined prompt part.
+void refuse_quarantined(scheduler& target, time_point now, std::vector<effect>& effects);
+
 /// @brief Removes a request that was refused, withdrawn or has ended from the counts.
 void record_removal(scheduler& target, const work_item& work, time_point now);
 
@@ -29,5 +40,7 @@
             std::vector<effect>& effects);
 void handle(scheduler& target, const server_backoff& input, time_point now,
             std::vector<effect>& effects);
+void handle(scheduler& target, const suspicions_received& input, time_point now,
+            std::vector<effect>& effects);
 
 } // namespace tarragonspar::dispatch::detail
--- a/include/tarragonspar/dispatch/events.hpp
+++ b/include/tarragonspar/dispatch/events.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "tarragonspar/config/configuration.hpp"
+#include "tarragonspar/dispatch/crash_suspects.hpp"
 #include "tarragonspar/routing/digest.hpp"
 #include "tarragonspar/routing/server_model.hpp"
 #include "tarragonspar/types/outcome.hpp"
@@ -50,6 +51,12 @@
     bool complete{false};    ///< the complete answer was received
     bool server_fault{true}; ///< if not complete: whether the server caused the failure
     token_count generated;
+    bool server_lost{false}; ///< if not complete: the server ended the connection, as a crash does
+};
+
+/// Another instance sent its evidence about prompt parts.
+struct suspicions_received {
+    suspicion_report report;
 };
 
 /// An owned server sent a load report.
@@ -109,10 +116,10 @@
 /// Periodic tick: deadlines are checked.
 struct ticked {};
 
-using event =
-    std::variant<arrived, withdrawn, dispatch_failed, grant_refused, first_token, progressed, ended,
-                 reported, cache_changed, ownership_changed, peer_reported, peer_gone,
-                 drain_requested, adopted, server_draining, server_backoff, ticked>;
+using event = std::variant<arrived, withdrawn, dispatch_failed, grant_refused, first_token,
+                           progressed, ended, reported, cache_changed, ownership_changed,
+                           peer_reported, peer_gone, drain_requested, adopted, server_draining,
+                           server_backoff, suspicions_received, ticked>;
 
 /// Dispatch a request; its slot is reserved until `ended`, `dispatch_failed` or `grant_refused`.
 struct start_dispatch {
--- a/include/tarragonspar/dispatch/grant_scheduler.hpp
+++ b/include/tarragonspar/dispatch/grant_scheduler.hpp
@@ -40,6 +40,7 @@
     none,
     not_connected, ///< no connection to the server; nothing was sent
     server_failed, ///< the server refused, failed or aborted the request
+    server_lost,   ///< the server ended the connection, as a crash does
     unused,        ///< a server notice known to the dispatcher forbids it; nothing was sent
 };
 
@@ -58,11 +59,12 @@
     stage kind{stage::withdrawn};
     token_count generated;
     bool server_fault{false};
+    bool server_lost{false}; ///< the server ended the connection, as a crash does
 };
 
 /// @brief A request that its dispatcher has sent to a server.
 struct running_request {
-    work_item work; ///< id, tier, workspace and model suffice
+    work_item work; ///< id, tier, workspace, model and shared parts suffice
     server_id server;
 };
 
@@ -121,6 +123,10 @@
 bool record(grant_scheduler& target, const server_notice& notice, time_point now,
             std::vector<decision>& out);
 
+/// @brief Handles another instance's evidence about prompt parts that crash servers.
+void record(grant_scheduler& target, const suspicion_report& report, time_point now,
+            std::vector<decision>& out);
+
 /// @brief Returns the server notice that currently forbids a dispatcher to send to a server, if
 /// any.
 [[nodiscard]] std::optional<server_notice> find_notice(const grant_scheduler& source,
--- a/include/tarragonspar/dispatch/scheduler.hpp
+++ b/include/tarragonspar/dispatch/scheduler.hpp
@@ -116,6 +116,7 @@
     std::map<instance_id, peer_state> peers;
     /// Time until which a server asked a dispatcher to back off.
     std::map<std::pair<server_id, instance_id>, time_point> backoffs;
+    crash_suspects suspects; ///< prompt parts under which servers were lost
     std::unordered_map<std::string, double> class_speed; ///< seconds per token by hardware class
     std::unordered_set<block_hash> in_flight_prefixes; ///< being computed; equal ones wait for them
     routing::length_estimator lengths;
@@ -138,6 +139,10 @@
 [[nodiscard]] std::vector<routing::model_digest> make_digest(const scheduler& source,
                                                              time_point now);
 
+/// @brief Returns the quarantine that forbids to send a request to any server, if there is one.
+[[nodiscard]] std::optional<prompt_judgement>
+find_quarantine(const scheduler& source, const work_item& work, time_point now);
+
 /// @brief Returns the number of queued requests in all pools.
 [[nodiscard]] std::size_t queued_count(const scheduler& source);
 
--- a/include/tarragonspar/gateway/control_link.hpp
+++ b/include/tarragonspar/gateway/control_link.hpp
@@ -110,6 +110,9 @@
     void choose_target(std::optional<instance_id> leader);
     void retry_pending_grants();
     void send_grant_request(pending_grant& pending);
+    /// @brief Refuses a request by a quarantine that this instance knows of; a new leader may not.
+    void refuse_quarantined(const pending_grant& pending,
+                            const dispatch::prompt_judgement& quarantine);
     void query_scheduler(const pending_grant& pending);
     void return_grant(pending_grant& pending, const dispatch::grant& given,
                       const dispatch::server_notice& notice);
--- a/include/tarragonspar/gateway/grant_service.hpp
+++ b/include/tarragonspar/gateway/grant_service.hpp
@@ -31,6 +31,13 @@
                     double share);
     void ask(const work_item& work, dispatch::previous_grant previous, reply answer);
     void record(const dispatch::grant_update& update);
+    /// @brief Adds another instance's evidence about prompt parts that crash servers.
+    void record(const dispatch::suspicion_report& report);
+    /// @brief Returns this instance's evidence about prompt parts that crash servers.
+    [[nodiscard]] dispatch::suspicion_report suspicions();
+    /// @brief Returns the quarantine that forbids to send a request to any server, if there is one.
+    [[nodiscard]] std::optional<dispatch::prompt_judgement>
+    find_quarantine(const work_item& work) const;
     /// @return whether the notice was not known before
     bool record(const dispatch::server_notice& notice);
     /// @brief Returns the notice that currently forbids a dispatcher to send to a server, if there
@@ -54,8 +61,10 @@
     /// @brief Share of the entry instances that report at present.
     [[nodiscard]] double live_dispatcher_share();
     [[nodiscard]] std::size_t queued() const;
+    [[nodiscard]] std::size_t quarantined_parts() const;
 
 private:
+    void log_suspicions();
     void deliver(std::vector<dispatch::decision>& results);
     void schedule_tick();
 
--- a/include/tarragonspar/gateway/relayed_request.hpp
+++ b/include/tarragonspar/gateway/relayed_request.hpp
@@ -19,7 +19,7 @@
     done,          ///< the caller has its final answer
     not_connected, ///< nothing was sent
     not_executed,  ///< the server reported that it did not run the request
-    failed, ///< the server failed; it may have run the request
+    failed,        ///< the server failed; it may have run the request
     /// The server ended the connection before the end of its answer, as a crash does; it may have
     /// run the request.
     server_lost,
--- a/include/tarragonspar/gateway/reports.hpp
+++ b/include/tarragonspar/gateway/reports.hpp
@@ -17,6 +17,7 @@
     std::uint64_t servers_fingerprint{}; ///< fingerprint of the list of servers that it knows
     duration servers_age{};              ///< time since that list was read from the platform
     std::uint32_t entry_instances{1}; ///< number in the deployment, as the last leader reported it
+    std::string packed_suspicions;    ///< evidence about prompt parts; empty: none
 };
 
 /// @brief The answer to an `entry_report`.
@@ -32,6 +33,7 @@
     std::vector<instance_id> peers; ///< some entry instances to query while there is no leader
     /// What the sender knows of the newest document; nothing if it can't know.
     std::optional<config::newest_document> newest;
+    std::string packed_suspicions; ///< evidence about prompt parts; empty: none
 };
 
 /// @brief A request for a grant.
@@ -51,6 +53,10 @@
 /// @param reported  document that was stated in the report to which this is the answer
 [[nodiscard]] std::optional<control_update>
 unpack_control_update(const std::string& bytes, config::document_number reported = {});
+/// @return an empty string if there is no evidence
+[[nodiscard]] std::string pack(const dispatch::suspicion_report& value, time_point now);
+[[nodiscard]] std::optional<dispatch::suspicion_report> unpack_suspicions(const std::string& bytes,
+                                                                          time_point now);
 [[nodiscard]] std::string pack(const grant_request& value, time_point now);
 [[nodiscard]] std::optional<grant_request> unpack_grant_request(const std::string& bytes,
                                                                 time_point now);
--- a/include/tarragonspar/http/backend_call.hpp
+++ b/include/tarragonspar/http/backend_call.hpp
@@ -79,8 +79,8 @@
     /// subject to the same size limit as a head.
     boost::asio::awaitable<body_part> read_body();
 
-    /// @brief Whether the body has neither a length nor chunks and ends with the connection, so that
-    /// its end does not tell whether the server finished it.
+    /// @brief Whether the body has neither a length nor chunks and ends with the connection, so
+    /// that its end does not tell whether the server finished it.
     [[nodiscard]] bool ends_with_connection() const;
 
     /// @brief Closes the connection; most servers then abort the request.
--- a/include/tarragonspar/telemetry/metrics.hpp
+++ b/include/tarragonspar/telemetry/metrics.hpp
@@ -54,6 +54,9 @@
     /// @brief Sets the number of requests queued in this instance.
     void set_queued(std::size_t count);
 
+    /// @brief Sets the number of prompt parts that are kept from servers.
+    void set_quarantined_parts(std::size_t count);
+
     /// @brief Sets the configuration revision in force.
     void set_revision(std::uint64_t value);
 
@@ -89,6 +92,7 @@
     prometheus::Counter* wasted_prefill_;
     prometheus::Gauge* queued_;
     prometheus::Gauge* revision_;
+    prometheus::Gauge* quarantined_parts_;
     prometheus::Gauge* revision_confirmed_;
     prometheus::Gauge* control_runs_;
     prometheus::Gauge* control_is_voter_;
--- a/include/tarragonspar/types/ids.hpp
+++ b/include/tarragonspar/types/ids.hpp
@@ -60,6 +60,9 @@
 /// @brief Mixes two hashes; used for rendezvous weights and block chains.
 [[nodiscard]] std::uint64_t hash_pair(std::uint64_t first, std::uint64_t second) noexcept;
 
+/// @brief Returns a number in hexadecimal, as logs show keys.
+[[nodiscard]] std::string to_hex(std::uint64_t value);
+
 } // namespace tarragonspar
 
 template <class Tag, class Rep>
--- a/include/tarragonspar/types/outcome.hpp
+++ b/include/tarragonspar/types/outcome.hpp
@@ -27,6 +27,7 @@
     issuer_lost,      ///< the incarnation that knows the key's result is gone
     no_quorum,        ///< the key could not be claimed: no majority of the control group answers
     catching_up,      ///< the instance has just started and does not know the configuration yet
+    quarantined,      ///< servers crashed under a part of its prompt
 };
 
 /// @brief Returns the stable name for logs, metrics and problem documents.
@@ -70,9 +71,11 @@
     case reason::no_quorum:
         return "no_quorum";
     case reason::catching_up:
+        return "catching_up";
+    case reason::quarantined:
         break;
     }
-    return "catching_up";
+    return "quarantined";
 }
 
 } // namespace tarragonspar
--- a/include/tarragonspar/types/work.hpp
+++ b/include/tarragonspar/types/work.hpp
@@ -21,6 +21,8 @@
     token_count prompt;             ///< length of the prompt; 0 for plain services
     token_count max_output;         ///< the caller's own limit on the answer's length
     std::vector<block_hash> blocks; ///< chain hashes of the prompt's complete blocks
+    /// Keys of the prompt's parts that other requests may share, without the last one.
+    std::vector<std::uint64_t> shared_parts;
     bool idempotent{true};          ///< whether the profile allows a second run
     std::uint8_t transfers{};       ///< number of transfers between owners
     std::vector<server_id> avoid;   ///< servers that have failed this request already
--- a/include/tarragonspar/wire/schema/instance.capnp.h
+++ b/include/tarragonspar/wire/schema/instance.capnp.h
@@ -83,7 +83,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9f94c6cef8b46c80, 10, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(9f94c6cef8b46c80, 10, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -735,6 +735,9 @@
 
   inline  ::uint64_t getOriginDomain() const;
 
+  inline bool hasSharedParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSharedParts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -831,6 +834,14 @@
   inline  ::uint64_t getOriginDomain();
   inline void setOriginDomain( ::uint64_t value);
 
+  inline bool hasSharedParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getSharedParts();
+  inline void setSharedParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setSharedParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initSharedParts(unsigned int size);
+  inline void adoptSharedParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSharedParts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3928,6 +3939,44 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Work::Reader::hasSharedParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Work::Builder::hasSharedParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Work::Reader::getSharedParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Work::Builder::getSharedParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Work::Builder::setSharedParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void Work::Builder::setSharedParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Work::Builder::initSharedParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Work::Builder::adoptSharedParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Work::Builder::disownSharedParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool Call::Reader::getPlain() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/schema/instance.capnp
+++ b/schema/instance.capnp
@@ -33,6 +33,8 @@
   rank @16 :UInt8;
   originDomain @17 :UInt64;
   # Failure domain of the instance that dispatches the request; 0 means unknown.
+  sharedParts @18 :List(UInt64);
+  # Keys of the prompt's parts that other requests may share.
 }
 
 struct Call {
--- a/src/dispatch/grant_scheduler.cpp
+++ b/src/dispatch/grant_scheduler.cpp
@@ -158,6 +158,11 @@
     return true;
 }
 
+void record(grant_scheduler& target, const suspicion_report& report, time_point now,
+            std::vector<decision>& out) {
+    apply_event(target, suspicions_received{.report = report}, now, out);
+}
+
 std::optional<server_notice> find_notice(const grant_scheduler& source, server_id server,
                                          instance_id dispatcher, time_point now) {
     if (source.known_draining.contains(server)) {
@@ -178,9 +183,14 @@
             apply_event(target, dispatch_failed{.id = work.id}, now, out);
             return;
         }
-    } else if (previous == previous_grant::server_failed) {
-        apply_event(target, ended{.id = work.id, .complete = false, .server_fault = true}, now,
-                    out);
+    } else if (previous == previous_grant::server_failed ||
+               previous == previous_grant::server_lost) {
+        apply_event(target,
+                    ended{.id = work.id,
+                          .complete = false,
+                          .server_fault = true,
+                          .server_lost = previous == previous_grant::server_lost},
+                    now, out);
     } else if (previous == previous_grant::unused) {
         apply_event(target, grant_refused{.id = work.id}, now, out);
     } else if (const auto wait = admission::acquire(target.quotas, make_quota_request(work), now);
@@ -215,7 +225,10 @@
         return;
     case grant_update::stage::failed:
         apply_event(target,
-                    ended{.id = update.id, .complete = false, .server_fault = update.server_fault},
+                    ended{.id = update.id,
+                          .complete = false,
+                          .server_fault = update.server_fault,
+                          .server_lost = update.server_lost},
                     now, out);
         return;
     }
--- a/src/dispatch/placing.cpp
+++ b/src/dispatch/placing.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "tarragonspar/dispatch/detail/server_events.hpp"
 #include "tarragonspar/dispatch/detail/shedding.hpp"
 
 namespace tarragonspar::dispatch::detail {
@@ -301,7 +302,8 @@
             !may_serve(target, *changed.server, candidate->work, now)) {
             continue;
         }
-        if (is_prefix_in_flight(target, candidate->work, now)) {
+        if (is_prefix_in_flight(target, candidate->work, now) ||
+            must_wait_for_trial(target, candidate->work, now)) {
             continue;
         }
         routing::prediction predicted;
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -145,6 +145,17 @@
             refuse{.id = work.id, .why = reason::overloaded, .retry_after = *until - now});
         return;
     }
+    if (const auto quarantine = find_quarantine(target, work, now)) {
+        effects.emplace_back(refuse{
+            .id = work.id, .why = reason::quarantined, .retry_after = quarantine->until - now});
+        return;
+    }
+    if (detail::waits_too_long_for_trial(target, work, now)) {
+        effects.emplace_back(refuse{.id = work.id,
+                                    .why = reason::overloaded,
+                                    .retry_after = target.options.max_retry_after});
+        return;
+    }
     ++target.in_system[work.workspace];
     if (is_top_tier(work)) {
         update_peak(pool_of(target, work.model).top_tier, +1,
@@ -280,6 +291,12 @@
         at->second.kind == config::server_kind::engine) {
         target.lengths.observe(item.work.profile, item.work.workspace, input.generated);
     }
+    if (input.complete && input.generated.value > 0) {
+        target.suspects.record_completion(item.work.shared_parts, now);
+    } else if (input.server_lost) {
+        target.suspects.record_crash(item.server, item.work.shared_parts, item.started, now);
+        detail::refuse_quarantined(target, now, effects);
+    }
     detail::dispatch_ready(target, now, effects,
                            {.server = at == target.servers.end() ? nullptr : &at->second});
 }
@@ -344,6 +361,20 @@
     std::visit([&](const auto& specific) { handle(target, specific, now, effects); }, input);
 }
 
+std::optional<prompt_judgement> find_quarantine(const scheduler& source, const work_item& work,
+                                                time_point now) {
+    auto judgement = source.suspects.judge(work.shared_parts, now);
+    if (judgement.verdict == prompt_verdict::quarantined) {
+        return judgement;
+    }
+    // Without coordination, each of the schedulers that share the servers would try one request.
+    if (judgement.was_quarantined && source.options.slots_share > 0.0) {
+        judgement.until = now + source.options.max_retry_after;
+        return judgement;
+    }
+    return std::nullopt;
+}
+
 std::size_t queued_count(const scheduler& source) {
     return source.queued_model.size();
 }
--- a/src/dispatch/server_events.cpp
+++ b/src/dispatch/server_events.cpp
@@ -52,8 +52,66 @@
     }
 }
 
+/// Requests with one suspected part that may wait for the one that runs. They take places among the
+/// candidates that are considered for a free slot.
+constexpr std::size_t max_waiting_for_trial = 3;
+
+/// Whether two requests share a prompt part.
+bool share_part(const work_item& one, std::uint64_t part) {
+    return std::find(one.shared_parts.begin(), one.shared_parts.end(), part) !=
+           one.shared_parts.end();
+}
+
 } // namespace
 
+bool must_wait_for_trial(const scheduler& source, const work_item& work, time_point now) {
+    if (source.suspects.empty()) {
+        return false;
+    }
+    const auto judgement = source.suspects.judge(work.shared_parts, now);
+    return judgement.verdict == prompt_verdict::on_trial &&
+           std::any_of(source.running.begin(), source.running.end(), [&](const auto& item) {
+               return share_part(item.second.work, judgement.part);
+           });
+}
+
+bool waits_too_long_for_trial(const scheduler& source, const work_item& work, time_point now) {
+    if (!must_wait_for_trial(source, work, now)) {
+        return false;
+    }
+    const auto part = source.suspects.judge(work.shared_parts, now).part;
+    const auto waiting = std::count_if(
+        source.queued_model.begin(), source.queued_model.end(), [&](const auto& item) {
+            return share_part(source.pools.at(item.second).queue.find(item.first)->work, part);
+        });
+    return static_cast<std::size_t>(waiting) >= max_waiting_for_trial;
+}
+
+void refuse_quarantined(scheduler& target, time_point now, std::vector<effect>& effects) {
+    if (target.suspects.quarantined(now) == 0) {
+        return;
+    }
+    std::vector<std::pair<request_id, duration>> refused;
+    for (const auto& [id, model] : target.queued_model) {
+        const auto& work = target.pools.at(model).queue.find(id)->work;
+        if (const auto quarantine = find_quarantine(target, work, now)) {
+            refused.emplace_back(id, quarantine->until - now);
+        }
+    }
+    for (const auto& [id, retry_delay] : refused) {
+        const auto item = remove_queued(target, id);
+        record_removal(target, item->work, now);
+        effects.emplace_back(
+            refuse{.id = id, .why = reason::quarantined, .retry_after = retry_delay});
+    }
+}
+
+void handle(scheduler& target, const suspicions_received& input, time_point now,
+            std::vector<effect>& effects) {
+    target.suspects.merge(input.report, now);
+    refuse_quarantined(target, now, effects);
+}
+
 void handle(scheduler& target, const reported& input, time_point now, std::vector<effect>&) {
     const auto found = target.servers.find(input.server);
     if (found == target.servers.end() || input.report.made_at < found->second.report.made_at) {
--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -223,10 +223,14 @@
     update_lead();
     if (leads_) {
         grant_service_->reconcile(report->open);
+        if (const auto told = unpack_suspicions(report->packed_suspicions, now())) {
+            grant_service_->record(*told);
+        }
         expected_dispatchers_ = std::max(expected_dispatchers_, report->entry_instances);
         start_scheduling_if_ready();
         update_quota_share();
         metrics_.set_queued(grant_service_->queued());
+        metrics_.set_quarantined_parts(grant_service_->quarantined_parts());
     }
     control_update update;
     update.schedules = schedules();
@@ -246,6 +250,7 @@
     }
     if (leads_) {
         update.newest = config::newest_document{.number = newest_.number};
+        update.packed_suspicions = pack(grant_service_->suspicions(), now());
     }
     add_server_list(list_, *report, now(), update);
     reply({.known = true, .payload = pack(update)});
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -124,7 +124,8 @@
                                .document = config::newest_held(documents_),
                                .servers_fingerprint = list_.fingerprint,
                                .servers_age = now() - list_.read,
-                               .entry_instances = entry_instances_};
+                               .entry_instances = entry_instances_,
+                               .packed_suspicions = pack(local_scheduler_->suspicions(), now())};
     node_.ask(*target_, wire::topic::entry_report, pack(message, now()),
               [self = shared_from_this(), from = *target_, reported = message.document,
                requested = now_with_suspension()](std::optional<wire::answer> answer) {
@@ -179,7 +180,8 @@
                                .document = config::newest_held(documents_),
                                .servers_fingerprint = list_.fingerprint,
                                .servers_age = now() - list_.read,
-                               .entry_instances = entry_instances_};
+                               .entry_instances = entry_instances_,
+                               .packed_suspicions = pack(local_scheduler_->suspicions(), now())};
     node_.ask(peer, wire::topic::entry_report, pack(message, now()),
               [self = shared_from_this(), peer, reported = message.document,
                requested = now_with_suspension()](std::optional<wire::answer> answer) {
@@ -200,6 +202,9 @@
     }
     // The sender may have restarted and know no peers; it becomes a peer of this instance.
     add_peer(request->open.dispatcher);
+    if (const auto told = unpack_suspicions(request->packed_suspicions, now())) {
+        local_scheduler_->record(*told);
+    }
     control_update update;
     if (scheduler_ && now() - scheduler_last_seen_ < max_leader_age) {
         update.leader = scheduler_;
@@ -211,6 +216,7 @@
     }
     update.newest = config::newest_known(documents_, now_with_suspension());
     add_server_list(list_, *request, now(), update);
+    update.packed_suspicions = pack(local_scheduler_->suspicions(), now());
     std::sample(peers_.begin(), peers_.end(), std::back_inserter(update.peers), peers_per_update,
                 random_);
     std::erase(update.peers, from);
@@ -252,6 +258,9 @@
     }
     config::confirm(documents_, documents);
     check_document();
+    if (const auto told = unpack_suspicions(update.packed_suspicions, now())) {
+        local_scheduler_->record(*told);
+    }
     if (auto servers = servers_in(update)) {
         set_servers(std::move(*servers), update.servers_age);
     } else if (list_.fingerprint != 0 && update.servers_fingerprint == list_.fingerprint) {
@@ -324,7 +333,10 @@
                        grant_service::reply answer) {
     if (previous != dispatch::previous_grant::none) {
         local_scheduler_->record(
-            {.id = work.id, .kind = dispatch::grant_update::stage::failed, .server_fault = true});
+            {.id = work.id,
+             .kind = dispatch::grant_update::stage::failed,
+             .server_fault = true,
+             .server_lost = previous == dispatch::previous_grant::server_lost});
     }
     auto& pending = pending_grants_[work.id];
     pending = {.work = work, .previous = previous, .answer = std::move(answer)};
@@ -341,7 +353,10 @@
             return;
         }
         const auto copy = found->second;
-        if (self->scheduler_) {
+        if (const auto quarantine = self->local_scheduler_->find_quarantine(copy.work);
+            quarantine && quarantine->verdict == dispatch::prompt_verdict::quarantined) {
+            self->refuse_quarantined(copy, *quarantine);
+        } else if (self->scheduler_) {
             self->query_scheduler(copy);
         } else {
             self->query_local_scheduler(copy);
@@ -349,6 +364,23 @@
     });
 }
 
+void control_link::refuse_quarantined(const pending_grant& pending,
+                                      const dispatch::prompt_judgement& quarantine) {
+    if (pending.previous != dispatch::previous_grant::none && scheduler_) {
+        // The scheduler learns of the lost server although it isn't asked again.
+        node_.ask(*scheduler_, wire::topic::grant_update,
+                  pack(dispatch::grant_update{
+                      .id = pending.work.id,
+                      .kind = dispatch::grant_update::stage::failed,
+                      .server_fault = true,
+                      .server_lost = pending.previous == dispatch::previous_grant::server_lost}),
+                  [](std::optional<wire::answer>) {});
+    }
+    handle_grant_result(
+        pending.work.id, pending.query_number,
+        dispatch::refusal{.why = reason::quarantined, .retry_after = quarantine.until - now()});
+}
+
 void control_link::query_scheduler(const pending_grant& pending) {
     const auto target = *scheduler_;
     node_.ask(target, wire::topic::grant,
--- a/src/gateway/grant_service.cpp
+++ b/src/gateway/grant_service.cpp
@@ -74,6 +74,21 @@
     return is_new;
 }
 
+void grant_service::record(const dispatch::suspicion_report& report) {
+    std::vector<dispatch::decision> results;
+    dispatch::record(scheduler_, report, now(), results);
+    deliver(results);
+}
+
+dispatch::suspicion_report grant_service::suspicions() {
+    return scheduler_.decisions.suspects.report(now());
+}
+
+std::optional<dispatch::prompt_judgement>
+grant_service::find_quarantine(const work_item& work) const {
+    return dispatch::find_quarantine(scheduler_.decisions, work, now());
+}
+
 std::optional<dispatch::server_notice> grant_service::find_notice(server_id server,
                                                                   instance_id dispatcher) const {
     return dispatch::find_notice(scheduler_, server, dispatcher, now());
@@ -108,6 +123,7 @@
     fresh.quotas = std::move(scheduler_.quotas);
     fresh.known_draining = std::move(scheduler_.known_draining);
     fresh.decisions.backoffs = std::move(scheduler_.decisions.backoffs);
+    fresh.decisions.suspects = std::move(scheduler_.decisions.suspects);
     scheduler_ = std::move(fresh);
     return uncalled;
 }
@@ -124,7 +140,26 @@
     return dispatch::queued_count(scheduler_.decisions);
 }
 
+std::size_t grant_service::quarantined_parts() const {
+    return scheduler_.decisions.suspects.quarantined(now());
+}
+
+void grant_service::log_suspicions() {
+    using kind = dispatch::suspicion_change::kind;
+    for (const auto& change : scheduler_.decisions.suspects.take_changes()) {
+        telemetry::write(telemetry::log_line(change.what == kind::suspected     ? "part_suspected"
+                                             : change.what == kind::quarantined ? "part_quarantined"
+                                                                                : "part_cleared")
+                             .add("part", to_hex(change.part))
+                             .add("crashes", static_cast<std::int64_t>(change.crashes))
+                             .add("for_ms", change.what == kind::quarantined
+                                                ? to_milliseconds(change.until - now())
+                                                : 0));
+    }
+}
+
 void grant_service::deliver(std::vector<dispatch::decision>& results) {
+    log_suspicions();
     for (auto& item : results) {
         const auto found = pending_replies_.find(item.id);
         if (found == pending_replies_.end()) {
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -1,7 +1,6 @@
 // Relays a caller's request to backend servers, from its arrival to its end.
 
 #include <algorithm>
-#include <sstream>
 
 #include "tarragonspar/gateway/detail/answer_verdict.hpp"
 #include "tarragonspar/gateway/detail/replies.hpp"
@@ -37,12 +36,11 @@
 
 /// Returns the shared parts of a prompt as hexadecimal keys; the last one is the request's own.
 std::string shared_parts_text(const caller_request& from) {
-    std::ostringstream text;
-    text << std::hex;
+    std::string text;
     for (std::size_t i = 0; i + 1 < from.parts.size(); ++i) {
-        text << (i > 0 ? "," : "") << from.parts[i].key;
+        text += (i > 0 ? "," : "") + to_hex(from.parts[i].key);
     }
-    return text.str().empty() ? "none" : text.str();
+    return text.empty() ? "none" : text;
 }
 
 void log_server_lost(const relayed_request& request) {
@@ -201,6 +199,7 @@
             break;
         }
         previous = last == attempt_end::not_connected ? dispatch::previous_grant::not_connected
+                   : last == attempt_end::server_lost ? dispatch::previous_grant::server_lost
                                                       : dispatch::previous_grant::server_failed;
         if (last != attempt_end::not_connected) {
             request->work.avoid.push_back(request->current_grant->server);
@@ -332,6 +331,7 @@
     if (end == attempt_end::done && update.server_fault) {
         update.kind = dispatch::grant_update::stage::failed;
     }
+    update.server_lost = end == attempt_end::server_lost;
     update.generated = {request.events * request.tokens_per_event};
     link_->record(update);
 }
--- a/src/gateway/relay_admission.cpp
+++ b/src/gateway/relay_admission.cpp
@@ -17,6 +17,10 @@
 /// enough to find the server that a session used before.
 constexpr std::size_t max_reported_blocks = 32;
 
+/// Largest number of a prompt's parts that are checked for whether servers crash under them;
+/// prompts have a few.
+constexpr std::size_t max_shared_parts = 32;
+
 /// Delay after which callers may return that an unconfirmed catalogue does not allow: about as long
 /// as the control group takes to elect a leader.
 constexpr duration unconfirmed_retry_after = std::chrono::seconds{1};
@@ -38,6 +42,15 @@
     return blocks;
 }
 
+/// Returns the keys of the parts that other requests may share: all but the last one.
+std::vector<std::uint64_t> shared_parts_of(const std::vector<prompt_part>& parts) {
+    std::vector<std::uint64_t> keys;
+    for (std::size_t i = 0; i + 1 < parts.size() && i < max_shared_parts; ++i) {
+        keys.push_back(parts[i].key);
+    }
+    return keys;
+}
+
 } // namespace
 
 entry_instance::request_ptr entry_instance::admit(const http::request_message& message,
@@ -117,6 +130,7 @@
     work.max_output = request.caller.max_output;
     work.expected_output = request.caller.expected_output;
     work.blocks = blocks_of(request.caller.parts);
+    work.shared_parts = shared_parts_of(request.caller.parts);
     work.idempotent = config::is_idempotent(*request.route);
     work.origin_domain = {hash_name(settings_.failure_domain)};
     if (const auto* service = request.catalogue->find_service(request.service)) {
--- a/src/gateway/reports.cpp
+++ b/src/gateway/reports.cpp
@@ -57,6 +57,39 @@
     return value;
 }
 
+/// Position of the evidence about prompt parts in reports and updates; instances of an earlier
+/// version send none.
+constexpr std::size_t suspicions_index = 10;
+
+/// Returns a time that another instance stated as an age, within the bounds of such statements.
+time_point read_age(const json& in, time_point now) {
+    return now - std::clamp(duration{in.get<duration::rep>()}, -max_stated_age, max_stated_age);
+}
+
+json suspect_to_json(const dispatch::suspected_part& value, time_point now) {
+    auto crashes = json::array();
+    for (const auto& crash : value.crashes) {
+        crashes.push_back(json::array({crash.server.value, (now - crash.at).count()}));
+    }
+    return json::array({value.part, std::move(crashes), value.companions, value.quarantines,
+                        (now - value.quarantined_until).count()});
+}
+
+dispatch::suspected_part read_suspect(const json& in, time_point now) {
+    dispatch::suspected_part value;
+    value.part = in.at(0).get<std::uint64_t>();
+    for (const auto& crash : in.at(1)) {
+        value.crashes.push_back(
+            {.server = {crash.at(0).get<std::uint32_t>()}, .at = read_age(crash.at(1), now)});
+    }
+    value.companions = in.at(2).get<std::vector<std::uint64_t>>();
+    value.quarantines = in.at(3).get<std::uint32_t>();
+    if (value.quarantines > 0) {
+        value.quarantined_until = read_age(in.at(4), now);
+    }
+    return value;
+}
+
 json id_of(const request_id& id) {
     return json::array({id.issuer.value, id.issued_in.value, id.sequence});
 }
@@ -72,18 +105,19 @@
 std::string pack(const entry_report& value, time_point) {
     auto running = json::array();
     for (const auto& item : value.open.running) {
-        running.push_back(
-            json::array({item.work.id.sequence, item.server.value, item.work.urgency.value,
-                         item.work.workspace.value, item.work.model.value}));
+        running.push_back(json::array({item.work.id.sequence, item.server.value,
+                                       item.work.urgency.value, item.work.workspace.value,
+                                       item.work.model.value, item.work.shared_parts}));
     }
     auto used = json::array();
     for (const auto& [workspace, spans] : value.open.used) {
         used.push_back(json::array({workspace.value, spans}));
     }
-    return cbor::encode(json::array(
-        {value.open.dispatcher.value, value.open.started_as.value, std::move(running),
-         value.open.waiting, value.document.value, value.servers_fingerprint, std::move(used),
-         value.servers_age.count(), value.entry_instances, value.open.uptime.count()}));
+    return cbor::encode(
+        json::array({value.open.dispatcher.value, value.open.started_as.value, std::move(running),
+                     value.open.waiting, value.document.value, value.servers_fingerprint,
+                     std::move(used), value.servers_age.count(), value.entry_instances,
+                     value.open.uptime.count(), cbor::binary(value.packed_suspicions)}));
 }
 
 std::optional<entry_report> unpack_report(const std::string& bytes, time_point) {
@@ -100,6 +134,10 @@
             running.work.urgency = {item.at(2).get<std::uint8_t>()};
             running.work.workspace = {item.at(3).get<std::uint64_t>()};
             running.work.model = {item.at(4).get<std::uint64_t>()};
+            constexpr std::size_t parts_index = 5; // instances of an earlier version send no parts
+            if (item.size() > parts_index) {
+                running.work.shared_parts = item.at(parts_index).get<std::vector<std::uint64_t>>();
+            }
             value.open.running.push_back(std::move(running));
         }
         value.open.waiting = in.at(3).get<std::vector<std::uint64_t>>();
@@ -112,6 +150,9 @@
         value.servers_age = duration{in.at(7).get<duration::rep>()};
         value.entry_instances = in.at(8).get<std::uint32_t>();
         value.open.uptime = duration{in.at(9).get<duration::rep>()};
+        if (in.size() > suspicions_index) {
+            value.packed_suspicions = cbor::bytes_of(in.at(suspicions_index));
+        }
         return value;
     });
 }
@@ -123,7 +164,8 @@
          value.servers_fingerprint, cbor::binary(value.packed_servers), value.servers_age.count(),
          ids(value.peers),
          value.newest ? json::array({value.newest->number.value, value.newest->age.count()})
-                      : json()}));
+                      : json(),
+         cbor::binary(value.packed_suspicions)}));
 }
 
 std::optional<control_update> unpack_control_update(const std::string& bytes,
@@ -161,6 +203,35 @@
                 .age = std::clamp(duration{newest.at(1).get<duration::rep>()}, duration{},
                                   max_stated_age)};
         }
+        if (in.size() > suspicions_index) {
+            value.packed_suspicions = cbor::bytes_of(in.at(suspicions_index));
+        }
+        return value;
+    });
+}
+
+std::string pack(const dispatch::suspicion_report& value, time_point now) {
+    if (value.suspects.empty() && value.cleared.empty()) {
+        return {};
+    }
+    auto suspects = json::array();
+    for (const auto& suspect : value.suspects) {
+        suspects.push_back(suspect_to_json(suspect, now));
+    }
+    return cbor::encode(json::array({std::move(suspects), value.cleared}));
+}
+
+std::optional<dispatch::suspicion_report> unpack_suspicions(const std::string& bytes,
+                                                            time_point now) {
+    if (bytes.empty()) {
+        return std::nullopt;
+    }
+    return read_cbor(bytes, [&](const json& in) {
+        dispatch::suspicion_report value;
+        for (const auto& suspect : in.at(0)) {
+            value.suspects.push_back(read_suspect(suspect, now));
+        }
+        value.cleared = in.at(1).get<std::vector<std::uint64_t>>();
         return value;
     });
 }
@@ -221,8 +292,9 @@
 }
 
 std::string pack(const dispatch::grant_update& value) {
-    return cbor::encode(json::array({id_of(value.id), static_cast<std::uint8_t>(value.kind),
-                                     value.generated.value, value.server_fault}));
+    return cbor::encode(
+        json::array({id_of(value.id), static_cast<std::uint8_t>(value.kind), value.generated.value,
+                     value.server_fault, value.server_lost}));
 }
 
 std::optional<dispatch::grant_update> unpack_grant_update(const std::string& bytes) {
@@ -232,6 +304,8 @@
         value.kind = static_cast<dispatch::grant_update::stage>(in.at(1).get<std::uint8_t>());
         value.generated = {in.at(2).get<std::uint32_t>()};
         value.server_fault = in.at(3).get<bool>();
+        constexpr std::size_t lost_index = 4; // instances of an earlier version don't send it
+        value.server_lost = in.size() > lost_index && in.at(lost_index).get<bool>();
         return value;
     });
 }
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -57,6 +57,8 @@
       queued_(gauge(*registry_, "tarragonspar_queued_requests", "Requests waiting here")),
       revision_(gauge(*registry_, "tarragonspar_configuration_revision",
                       "Revision of the configuration in force")),
+      quarantined_parts_(gauge(*registry_, "tarragonspar_quarantined_prompt_parts",
+                               "Prompt parts that are kept from servers since servers crashed")),
       revision_confirmed_(gauge(*registry_, "tarragonspar_configuration_revision_confirmed",
                                 "1 while the configuration in force is known to be the newest")),
       control_runs_(gauge(*registry_, "tarragonspar_control_replica_runs",
@@ -125,6 +127,10 @@
     queued_->Set(static_cast<double>(count));
 }
 
+void metrics::set_quarantined_parts(std::size_t count) {
+    quarantined_parts_->Set(static_cast<double>(count));
+}
+
 void metrics::set_revision(std::uint64_t value) {
     revision_->Set(static_cast<double>(value));
 }
--- a/src/types/ids.cpp
+++ b/src/types/ids.cpp
@@ -70,4 +70,11 @@
     return XXH3_64bits_withSeed(&first, sizeof first, second);
 }
 
+std::string to_hex(std::uint64_t value) {
+    constexpr int base = 16;
+    std::array<char, 2 * sizeof(value)> digits{};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), value, base).ptr;
+    return {digits.data(), end};
+}
+
 } // namespace tarragonspar
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -52,7 +52,7 @@
 }
 
 reason read_reason(std::uint8_t value) {
-    return value <= static_cast<std::uint8_t>(reason::catching_up) ? static_cast<reason>(value)
+    return value <= static_cast<std::uint8_t>(reason::quarantined) ? static_cast<reason>(value)
                                                                    : reason::none;
 }
 
@@ -126,6 +126,10 @@
     for (unsigned i = 0; i < blocks.size(); ++i) {
         blocks.set(i, value.blocks[i].value);
     }
+    auto parts = out.initSharedParts(static_cast<unsigned>(value.shared_parts.size()));
+    for (unsigned i = 0; i < parts.size(); ++i) {
+        parts.set(i, value.shared_parts[i]);
+    }
 }
 
 work_item read(schema::Work::Reader in, time_point now) {
@@ -154,6 +158,9 @@
     for (const auto block : in.getBlocks()) {
         value.blocks.push_back({block});
     }
+    for (const auto part : in.getSharedParts()) {
+        value.shared_parts.push_back(part);
+    }
     return value;
 }
 
--- a/tests/unit-decoders.cpp
+++ b/tests/unit-decoders.cpp
@@ -135,12 +135,30 @@
                      });
 }
 
+TEST(Decoders, MutatedEvidenceAboutPromptParts) {
+    dispatch::crash_suspects known;
+    known.record_crash({1}, {0xa, 0xb}, now, now);
+    known.record_crash({2}, {0xa, 0xc}, now, now + std::chrono::seconds{1});
+    known.clear(0xc, now);
+    decode_mutations(gateway::pack(known.report(now), now), 9, [](const std::string& bytes) {
+        if (const auto read = gateway::unpack_suspicions(bytes, now)) {
+            dispatch::crash_suspects target;
+            target.merge(*read, now);
+            static_cast<void>(target.judge({0xa, 0xb, 0xc}, now));
+            static_cast<void>(target.report(now));
+        }
+    });
+}
+
 // While control instances were of an earlier version, entry instances answered 503 to every caller
 // without a route or a key, as no document ever counted as the newest.
 TEST(Decoders, ALeaderOfAnEarlierVersionConfirmsTheReportedDocument) {
     const auto as_earlier_version = [](const gateway::control_update& update) {
         auto fields = nlohmann::json::from_cbor(gateway::pack(update));
-        fields.erase(fields.size() - 1);
+        constexpr std::size_t earlier_fields = 9;
+        while (fields.size() > earlier_fields) {
+            fields.erase(fields.size() - 1);
+        }
         return cbor::encode(fields);
     };
     const config::document_number reported{6};
