A stream without a length that ends before its first event is broken off

Callers could get a 200 with an empty stream that looked complete: an answer with neither a length nor chunks ends with its connection, and a server that crashes before its first event closes it in the same way. Cause: the end of the connection counted as the end of the answer in any state but inside an event.

Change: without a length, a stream that has no event is handled as a lost server: continued elsewhere if it may be, else 502. A stream that a server continues from the caller's last event may still be empty.

AStreamWithoutLengthIsCompleteOnlyIfItEndsAfterAnEvent failed first ('200 , 1' instead of '502, 1' and of '200 second, 2'). The table of broken streams also plays a reset of a stream without a length; a close inside an event and plain answers, closed and reset, were covered.

--- a/src/gateway/relay_answer.cpp
+++ b/src/gateway/relay_answer.cpp
@@ -112,6 +112,7 @@
                                                                   http::answer_head head) {
     http::event_splitter splitter;
     continued_stream progress{.after = request->last_event, .newest = {}};
+    bool has_events = false;
     while (true) {
         const auto part = co_await request->call->read_body();
         if (request->is_over()) {
@@ -129,9 +130,15 @@
             }
         }
         const auto is_oversized = splitter.unfinished() > max_event;
+        has_events = has_events || !events.empty();
         if (part.broken) {
             co_return end_of_broken_answer(*request); // an incomplete event is dropped
         }
+        // Every stream has an event; without a length only that tells a complete one from a crash.
+        const auto is_empty = !has_events && !progress.after;
+        if (part.complete && is_empty && request->call->ends_with_connection()) {
+            co_return attempt_end::server_lost;
+        }
         if (part.complete && splitter.unfinished() > 0) {
             co_return request->call->ends_with_connection() ? attempt_end::server_lost
                                                             : attempt_end::failed;
--- a/tests/unit-deployment_faulty_server.cpp
+++ b/tests/unit-deployment_faulty_server.cpp
@@ -42,6 +42,12 @@
            (events.empty() ? "" : chunk(events));
 }
 
+/// Returns a stream that has neither a length nor chunks and ends with its connection.
+std::string unframed_stream(const std::string& events) {
+    return "HTTP/1.1 200 OK\r\n" + own + "Response-Signature: s\r\n" +
+           "Content-Type: text/event-stream\r\n\r\n" + events;
+}
+
 const std::string last_chunk = "0\r\n\r\n";
 
 /// What a server writes before it ends the connection.
@@ -191,8 +197,8 @@
         {"in a chunk's header", stream(two) + "1"},
         {"no last chunk", stream(pieces(base + 1, base + last_piece))},
         {"a refusal for a chunk", stream(two) + answer("503 Busy", own + declined)},
-        {"no length, in an event",
-         "HTTP/1.1 200 OK\r\n" + own + "Content-Type: text/event-stream\r\n\r\n" + two + "data: h"},
+        {"no length, in an event", unframed_stream(two + "data: h")},
+        {"no length, reset", unframed_stream(two), true},
     };
 }
 
@@ -242,6 +248,17 @@
 
 } // namespace
 
+TEST(FaultyServer, AStreamWithoutLengthIsCompleteOnlyIfItEndsAfterAnEvent) {
+    const auto two = pieces(1, 2);
+    expect_results({"once"},
+                   {{{"close after an event", unframed_stream(two)}, "200 " + two + ", 1"},
+                    {{"close before the first event", unframed_stream("")}, "502, 1"},
+                    {{"reset before the first event", unframed_stream(""), true}, "502, 1"}});
+    expect_results({"resumable"},
+                   {{{"close after an event", unframed_stream(two)}, "200 " + two + ", 1"},
+                    {{"close before the first event", unframed_stream("")}, "200 second, 2"}});
+}
+
 // Whatever the second server answers, the caller gets the rest of the stream or sees that it broke.
 TEST(FaultyServer, ABrokenStreamIsContinuedByItsOwnPiecesOrAborted) {
     std::vector<fault_case> cases;
