A server that restarts under its former id begins anew

Cause: the scheduler kept the breaker, the learned speeds and the prefix index of a server whose list entry shows another start time; a sound server could stay ejected after a crash that a request had caused, and its empty cache was taken for full.

ServerThatRestartedUnderItsFormerIdIsUsedAgain failed first.

--- a/include/tarragonspar/dispatch/crash_suspects.hpp
+++ b/include/tarragonspar/dispatch/crash_suspects.hpp
@@ -52,8 +52,8 @@
 /// @brief A verdict on a prompt, with the part that decided it.
 struct prompt_judgement {
     prompt_verdict verdict{prompt_verdict::clear};
-    std::uint64_t part{}; ///< unless clear
-    time_point until{};   ///< end of the quarantine
+    std::uint64_t part{};        ///< unless clear
+    time_point until{};          ///< end of the quarantine
     bool was_quarantined{false}; ///< on trial after a quarantine
 };
 
--- a/include/tarragonspar/routing/server_model.hpp
+++ b/include/tarragonspar/routing/server_model.hpp
@@ -40,6 +40,7 @@
     std::uint64_t pending_prefill{}; ///< prompt tokens of dispatched requests without a first token
     double slowness{1.0};            ///< time per token relative to its hardware class
     time_point last_dispatch{};
+    std::uint64_t started_at_ms{}; ///< start time in the server's description; 0: not known
 };
 
 /// @brief Predicted times for a request on a server, counted from the dispatch.
--- a/src/dispatch/crash_suspects.cpp
+++ b/src/dispatch/crash_suspects.cpp
@@ -52,8 +52,7 @@
 /// @param since  a crash of the same server that was noticed later than this is the same one
 void add_crash(std::vector<server_crash>& target, const server_crash& crash, time_point since) {
     const auto known = std::any_of(target.begin(), target.end(), [&](const server_crash& other) {
-        return other.server == crash.server && other.at > since &&
-               other.at < crash.at + same_crash;
+        return other.server == crash.server && other.at > since && other.at < crash.at + same_crash;
     });
     if (known) {
         return;
--- a/src/dispatch/server_events.cpp
+++ b/src/dispatch/server_events.cpp
@@ -131,6 +131,15 @@
     found->second.cache.evict(input.evicted);
 }
 
+namespace {
+
+bool has_restarted(const routing::server_model& known, const routing::server_model& listed) {
+    return known.started_at_ms != 0 && listed.started_at_ms != 0 &&
+           known.started_at_ms != listed.started_at_ms;
+}
+
+} // namespace
+
 void handle(scheduler& target, const ownership_changed& input, time_point now,
             std::vector<effect>& effects) {
     std::map<server_id, routing::server_model> next;
@@ -145,6 +154,14 @@
         model.listed_slots = listed_slots;
         if (known != target.servers.end()) {
             auto kept = std::move(known->second);
+            if (has_restarted(kept, model)) {
+                // Its cache is empty; failures and speeds before the restart tell nothing about it.
+                kept.cache = std::move(model.cache);
+                kept.breaker = {};
+                kept.speed = {};
+                kept.slowness = 1.0;
+            }
+            kept.started_at_ms = model.started_at_ms;
             kept.state = model.state;
             kept.offers = std::move(model.offers);
             kept.failure_domain = model.failure_domain;
--- a/src/routing/server_model.cpp
+++ b/src/routing/server_model.cpp
@@ -40,6 +40,7 @@
     model.in_flight_window = make_window(limits);
     model.slots_are_exact = description.slots_are_exact;
     model.listed_slots = std::max(1U, description.slots);
+    model.started_at_ms = description.started_at_ms;
     return model;
 }
 
--- a/tests/unit-crash_suspects.cpp
+++ b/tests/unit-crash_suspects.cpp
@@ -245,6 +245,28 @@
     EXPECT_EQ(e.refused.at(1).why, reason::quarantined);
 }
 
+// The crash counts against the request: a server that has started again gets work at once.
+TEST(GrantScheduler, ServerThatRestartedUnderItsFormerIdIsUsedAgain) {
+    auto server = make_server(1);
+    server.started_at_ms = 1'000;
+    fixture f({server});
+    constexpr int failures = 10;
+    for (std::uint64_t sequence = 1; sequence <= failures; ++sequence) {
+        f.ask(f.make(sequence, 0), previous_grant::none);
+        f.ask(f.make(sequence, 0), previous_grant::server_lost);
+        f.report_update(sequence, grant_update::stage::failed, true);
+    }
+    const auto& breaker = f.scheduler.decisions.servers.at({1}).breaker;
+    ASSERT_FALSE(routing::allows(breaker, f.now));
+    std::vector<decision> made;
+    server.started_at_ms = 2'000;
+    set_servers(f.scheduler, {server}, f.now, made);
+    f.store_results(made);
+    EXPECT_TRUE(routing::allows(f.scheduler.decisions.servers.at({1}).breaker, f.now));
+    f.ask(f.make(100, 0));
+    EXPECT_TRUE(f.granted.contains(100));
+}
+
 // Without a leader every instance would try a request.
 TEST(GrantScheduler, UncoordinatedGrantSchedulersDoNotTryQuarantinedParts) {
     evidence e;
--- a/tests/unit-deployment_deadly_part.cpp
+++ b/tests/unit-deployment_deadly_part.cpp
@@ -31,8 +31,8 @@
                         reset(socket);
                         return;
                     }
-                    write_raw(socket, stream_head(request, "sig") + chunk(event_text(1)) +
-                                          "0\r\n\r\n");
+                    write_raw(socket,
+                              stream_head(request, "sig") + chunk(event_text(1)) + "0\r\n\r\n");
                 }));
             deployment.add_server(*servers_.back(), "s");
         }
