The rate of requests that a server names is kept over all instances

Cause: nobody read the limit, requests went where slots were free. Class of fault: admission without the back end's own word. Ruled out: each instance keeping it for itself, repeats, probes (2,160 connections for 2,160 requests).

Change: the adapter reads the header (decimal; of several values the lowest; an unreadable value neither sets nor ends a limit). The leader counts every grant to a limited server in a token bucket; without a leader each instance uses an equal share. The limit reaches the leader at once and with reports, all instances with its updates, a new leader from the reports. It ends with an answer to a later request that names none; the lowest rate is a request in 4 s, so that such an answer comes. Predicted waits count a limited server with the slots that its rate fills, so that what is beyond goes to other servers or is shed by tier at once.

--- a/include/tarragonspar/dispatch/grant_scheduler.hpp
+++ b/include/tarragonspar/dispatch/grant_scheduler.hpp
@@ -123,6 +123,10 @@
 bool record(grant_scheduler& target, const server_notice& notice, time_point now,
             std::vector<decision>& out);
 
+/// @brief Handles what another instance was told by a server about its request limit.
+/// @return whether the limit is another one than before
+bool record(grant_scheduler& target, const limit_statement& told, time_point now);
+
 /// @brief Handles another instance's evidence about prompt parts that crash servers.
 void record(grant_scheduler& target, const suspicion_report& report, time_point now,
             std::vector<decision>& out);
--- a/include/tarragonspar/dispatch/scheduler.hpp
+++ b/include/tarragonspar/dispatch/scheduler.hpp
@@ -7,6 +7,7 @@
 
 #include "tarragonspar/admission/tier_queue.hpp"
 #include "tarragonspar/dispatch/events.hpp"
+#include "tarragonspar/dispatch/request_limits.hpp"
 #include "tarragonspar/routing/estimates.hpp"
 
 namespace tarragonspar::dispatch {
@@ -45,6 +46,8 @@
     double slots_share{0.0};
     /// The same share for the slots of each server, without the addition. 0: all slots.
     double server_share{0.0};
+    /// Share of the rates that servers name which this grant scheduler may use.
+    double request_limit_share{1.0};
     bool transfer_to_peers{true};
     /// Expected wait that justifies a transfer.
     duration transfer_wait{std::chrono::milliseconds{150}};
@@ -116,7 +119,8 @@
     std::map<instance_id, peer_state> peers;
     /// Time until which a server asked a dispatcher to back off.
     std::map<std::pair<server_id, instance_id>, time_point> backoffs;
-    crash_suspects suspects; ///< prompt parts under which servers were lost
+    request_limits limits_named; ///< rates of requests that servers named
+    crash_suspects suspects;     ///< prompt parts under which servers were lost
     std::unordered_map<std::string, double> class_speed; ///< seconds per token by hardware class
     std::unordered_set<block_hash> in_flight_prefixes; ///< being computed; equal ones wait for them
     routing::length_estimator lengths;
--- a/include/tarragonspar/gateway/control_link.hpp
+++ b/include/tarragonspar/gateway/control_link.hpp
@@ -63,6 +63,11 @@
     /// that server against the notice, whichever scheduler grants it. The leader is notified.
     void record(const dispatch::server_notice& notice);
 
+    /// @brief Records what an answer said of the rate of requests that its server accepts.
+    /// @param per_second  nothing: it names no limit
+    /// @param sent        when the request was sent
+    void record_limit(server_id server, std::optional<double> per_second, time_point sent);
+
     void set_document(const config::document& in_force, const config::catalogue& content);
     /// @brief Stores a list of servers that was read from the platform `age` ago; an older list
     /// than the known one is ignored.
--- a/include/tarragonspar/gateway/dialect.hpp
+++ b/include/tarragonspar/gateway/dialect.hpp
@@ -51,6 +51,9 @@
     bool server_draining{false}; ///< the server shuts down soon and accepts no further work
     /// Time for which this instance must not send to the server; only in refusals.
     std::optional<duration> requested_backoff;
+    bool names_request_limit{false}; ///< even if the named value can't be read
+    /// Requests a second that the server accepts from all instances together.
+    std::optional<double> request_limit;
 };
 
 /// @brief An operator's call that publishes a document.
--- a/include/tarragonspar/gateway/grant_service.hpp
+++ b/include/tarragonspar/gateway/grant_service.hpp
@@ -31,6 +31,15 @@
                     double share);
     void ask(const work_item& work, dispatch::previous_grant previous, reply answer);
     void record(const dispatch::grant_update& update);
+    /// @brief Records what an answer to one of this instance's requests said of the server's limit.
+    /// @param sent  when the request was sent
+    /// @return whether the limit is another one than before
+    bool record_limit(server_id server, std::optional<double> per_second, time_point sent);
+    /// @brief Records what other instances were told about the request limits of servers.
+    void record(const std::vector<dispatch::limit_statement>& told);
+    [[nodiscard]] std::vector<dispatch::limit_statement> limits(bool own_only) const;
+    /// @param share  share of the servers' request limits that this scheduler may use
+    void set_request_limit_share(double share);
     /// @brief Adds another instance's evidence about prompt parts that crash servers.
     void record(const dispatch::suspicion_report& report);
     /// @brief Returns this instance's evidence about prompt parts that crash servers.
@@ -64,6 +73,7 @@
     [[nodiscard]] std::size_t quarantined_parts() const;
 
 private:
+    static void log_limit(const dispatch::limit_statement& told);
     void log_suspicions();
     void deliver(std::vector<dispatch::decision>& results);
     void schedule_tick();
--- a/include/tarragonspar/gateway/relayed_request.hpp
+++ b/include/tarragonspar/gateway/relayed_request.hpp
@@ -69,6 +69,7 @@
     unsigned status{0}; ///< status of the answer to the caller
 
     time_point granted_at{};
+    time_point sent_at{};        ///< to the last server
     bool granted_locally{false}; ///< by the local grant scheduler, without a reachable leader
     time_point first_event_at{};
 
--- a/include/tarragonspar/gateway/reports.hpp
+++ b/include/tarragonspar/gateway/reports.hpp
@@ -18,6 +18,7 @@
     duration servers_age{};              ///< time since that list was read from the platform
     std::uint32_t entry_instances{1}; ///< number in the deployment, as the last leader reported it
     std::string packed_suspicions;    ///< evidence about prompt parts; empty: none
+    std::string packed_limits;        ///< request limits that servers named here; empty: none
 };
 
 /// @brief The answer to an `entry_report`.
@@ -34,6 +35,7 @@
     /// What the sender knows of the newest document; nothing if it can't know.
     std::optional<config::newest_document> newest;
     std::string packed_suspicions; ///< evidence about prompt parts; empty: none
+    std::string packed_limits;     ///< request limits of servers; empty: none
 };
 
 /// @brief A request for a grant.
@@ -53,6 +55,10 @@
 /// @param reported  document that was stated in the report to which this is the answer
 [[nodiscard]] std::optional<control_update>
 unpack_control_update(const std::string& bytes, config::document_number reported = {});
+/// @return an empty string if there are no statements
+[[nodiscard]] std::string pack(const std::vector<dispatch::limit_statement>& value, time_point now);
+[[nodiscard]] std::optional<std::vector<dispatch::limit_statement>>
+unpack_limits(const std::string& bytes, time_point now);
 /// @return an empty string if there is no evidence
 [[nodiscard]] std::string pack(const dispatch::suspicion_report& value, time_point now);
 [[nodiscard]] std::optional<dispatch::suspicion_report> unpack_suspicions(const std::string& bytes,
--- a/include/tarragonspar/wire/messages.hpp
+++ b/include/tarragonspar/wire/messages.hpp
@@ -31,7 +31,8 @@
                     ///< servers
     grant,          ///< a request for permission to dispatch, for the scheduler
     grant_update,   ///< progress and results of granted requests, for the scheduler
-    server_notice   ///< what a server reported about itself, for the scheduler
+    server_notice,  ///< what a server reported about itself, for the scheduler
+    server_limit    ///< the rate of requests that a server accepts, for the scheduler
 };
 
 /// @brief The answer to a query.
--- a/src/dispatch/grant_scheduler.cpp
+++ b/src/dispatch/grant_scheduler.cpp
@@ -135,6 +135,8 @@
     for (const auto& server : listed) {
         target.servers.emplace(server.id, server);
     }
+    target.decisions.limits_named.forget(
+        [&](server_id server) { return target.servers.contains(server); }, now);
     apply_event(target, ownership_changed{.owned = std::move(listed), .limits = {}}, now, out);
 }
 
@@ -158,6 +160,10 @@
     return true;
 }
 
+bool record(grant_scheduler& target, const limit_statement& told, time_point now) {
+    return target.decisions.limits_named.merge(told, now);
+}
+
 void record(grant_scheduler& target, const suspicion_report& report, time_point now,
             std::vector<decision>& out) {
     apply_event(target, suspicions_received{.report = report}, now, out);
--- a/src/dispatch/placing.cpp
+++ b/src/dispatch/placing.cpp
@@ -70,6 +70,7 @@
     server.last_dispatch = now;
     server.breaker.trial_running = routing::is_half_open(server.breaker);
     server.cache.insert(work.blocks);
+    target.limits_named.take(server.id, target.options.request_limit_share, now);
     if (predicted.computed.value >= min_awaited_prefill) {
         if (const auto root = prefix_root(work)) {
             running.computes_prefix = target.in_flight_prefixes.insert(*root).second;
@@ -81,6 +82,11 @@
 
 namespace {
 
+/// Whether a server that named a request limit may get one more request.
+bool is_within_limit(const scheduler& source, server_id server, time_point now) {
+    return source.limits_named.allows(server, source.options.request_limit_share, now);
+}
+
 /// Free slots that tiers below the top one must leave free.
 std::uint32_t reserve_of(const scheduler& source, const model_pool& pool, model_id model) {
     const auto slots = total_slots(source, model);
@@ -97,7 +103,7 @@
     for (const auto* server : servers_for(source, model)) {
         taken += server->in_flight;
         all += server->listed_slots;
-        if (routing::has_free_slot(*server, now)) {
+        if (routing::has_free_slot(*server, now) && is_within_limit(source, server->id, now)) {
             free += routing::usable_window(*server) - server->in_flight;
         }
     }
@@ -216,7 +222,8 @@
     for (auto* candidate : servers_for(target, work.model)) {
         auto& server = *candidate;
         if (std::find(work.avoid.begin(), work.avoid.end(), server.id) != work.avoid.end() ||
-            is_backing_off(target, server.id, work.id.issuer, now)) {
+            is_backing_off(target, server.id, work.id.issuer, now) ||
+            !is_within_limit(target, server.id, now)) {
             continue;
         }
         if (!routing::has_free_slot(server, now)) {
--- a/src/dispatch/shedding.cpp
+++ b/src/dispatch/shedding.cpp
@@ -1,6 +1,7 @@
 #include "tarragonspar/dispatch/detail/shedding.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace tarragonspar::dispatch::detail {
 
@@ -175,9 +176,18 @@
 std::uint32_t total_slots(const scheduler& source, model_id model) {
     std::uint32_t slots = 0;
     for (const auto* server : servers_for(source, model)) {
-        if (server->state == config::server_state::active) {
-            slots += routing::usable_window(*server);
+        if (server->state != config::server_state::active) {
+            continue;
+        }
+        auto window = routing::usable_window(*server);
+        if (const auto limit = source.limits_named.find(server->id)) {
+            // The slots that requests at this rate occupy.
+            const auto pool = source.pools.find(model);
+            const auto seconds = pool == source.pools.end() ? 1.0 : pool->second.service_seconds;
+            const auto occupied = std::ceil(std::min<double>(window, *limit * seconds));
+            window = std::max(1U, static_cast<std::uint32_t>(occupied));
         }
+        slots += window;
     }
     return slots;
 }
--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -183,6 +183,7 @@
         return;
     }
     quota_share_ = share;
+    grant_service_->set_request_limit_share(share);
     grant_service_->set_quotas(catalogue_, tolerance_of(settings_), share);
     constexpr double per_cent = 100.0;
     telemetry::write(telemetry::log_line("quota_share")
@@ -226,6 +227,9 @@
         if (const auto told = unpack_suspicions(report->packed_suspicions, now())) {
             grant_service_->record(*told);
         }
+        if (const auto told = unpack_limits(report->packed_limits, now())) {
+            grant_service_->record(*told);
+        }
         expected_dispatchers_ = std::max(expected_dispatchers_, report->entry_instances);
         start_scheduling_if_ready();
         update_quota_share();
@@ -251,6 +255,7 @@
     if (leads_) {
         update.newest = config::newest_document{.number = newest_.number};
         update.packed_suspicions = pack(grant_service_->suspicions(), now());
+        update.packed_limits = pack(grant_service_->limits(false), now());
     }
     add_server_list(list_, *report, now(), update);
     reply({.known = true, .payload = pack(update)});
@@ -305,6 +310,13 @@
             }
         });
         return; // needs no answer
+    case wire::topic::server_limit:
+        asio::post(context_, [this, payload = std::move(payload)] {
+            if (const auto told = unpack_limits(payload, now()); told && leads_) {
+                grant_service_->record(*told);
+            }
+        });
+        return; // needs no answer
     case wire::topic::server_notice:
         asio::post(context_, [this, payload = std::move(payload)] {
             if (const auto notice = unpack_notice(payload)) {
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -125,7 +125,8 @@
                                .servers_fingerprint = list_.fingerprint,
                                .servers_age = now() - list_.read,
                                .entry_instances = entry_instances_,
-                               .packed_suspicions = pack(local_scheduler_->suspicions(), now())};
+                               .packed_suspicions = pack(local_scheduler_->suspicions(), now()),
+                               .packed_limits = pack(local_scheduler_->limits(true), now())};
     node_.ask(*target_, wire::topic::entry_report, pack(message, now()),
               [self = shared_from_this(), from = *target_, reported = message.document,
                requested = now_with_suspension()](std::optional<wire::answer> answer) {
@@ -261,6 +262,9 @@
     if (const auto told = unpack_suspicions(update.packed_suspicions, now())) {
         local_scheduler_->record(*told);
     }
+    if (const auto told = unpack_limits(update.packed_limits, now())) {
+        local_scheduler_->record(*told);
+    }
     if (auto servers = servers_in(update)) {
         set_servers(std::move(*servers), update.servers_age);
     } else if (list_.fingerprint != 0 && update.servers_fingerprint == list_.fingerprint) {
@@ -444,6 +448,17 @@
     }
 }
 
+void control_link::record_limit(server_id server, std::optional<double> per_second,
+                                time_point sent) {
+    if (!local_scheduler_->record_limit(server, per_second, sent) || !scheduler_) {
+        return; // reports repeat what servers said
+    }
+    const std::vector<dispatch::limit_statement> told{
+        {.server = server, .per_second = per_second, .at = now()}};
+    node_.ask(*scheduler_, wire::topic::server_limit, pack(told, now()),
+              [](std::optional<wire::answer>) {});
+}
+
 void control_link::query_local_scheduler(const pending_grant& pending) {
     local_scheduler_->ask(pending.work, pending.previous,
                           [self = shared_from_this(), id = pending.work.id,
--- a/src/gateway/grant_service.cpp
+++ b/src/gateway/grant_service.cpp
@@ -29,6 +29,7 @@
 void grant_service::set_shares(double slots, double server_slots) {
     scheduler_.decisions.options.slots_share = slots;
     scheduler_.decisions.options.server_share = server_slots;
+    set_request_limit_share(slots);
 }
 
 void grant_service::set_quotas(const config::catalogue& from,
@@ -74,6 +75,43 @@
     return is_new;
 }
 
+bool grant_service::record_limit(server_id server, std::optional<double> per_second,
+                                 time_point sent) {
+    auto& limits = scheduler_.decisions.limits_named;
+    const auto changed = limits.record_answer(server, per_second, sent, now());
+    if (changed) {
+        log_limit({.server = server, .per_second = per_second, .at = now()});
+    }
+    return changed;
+}
+
+void grant_service::record(const std::vector<dispatch::limit_statement>& told) {
+    for (const auto& item : told) {
+        if (dispatch::record(scheduler_, item, now())) {
+            log_limit(item);
+        }
+    }
+}
+
+void grant_service::log_limit(const dispatch::limit_statement& told) {
+    constexpr double per_mille = 1e3;
+    auto line = telemetry::log_line(told.per_second ? "server_limit" : "server_limit_ended");
+    line.add("server", static_cast<std::int64_t>(told.server.value));
+    if (told.per_second) {
+        const auto rate = std::min(*told.per_second, 1e9) * per_mille;
+        line.add("per_1000_s", static_cast<std::int64_t>(rate));
+    }
+    telemetry::write(line.add("age_ms", to_milliseconds(now() - told.at)));
+}
+
+std::vector<dispatch::limit_statement> grant_service::limits(bool own_only) const {
+    return scheduler_.decisions.limits_named.statements(own_only);
+}
+
+void grant_service::set_request_limit_share(double share) {
+    scheduler_.decisions.options.request_limit_share = share;
+}
+
 void grant_service::record(const dispatch::suspicion_report& report) {
     std::vector<dispatch::decision> results;
     dispatch::record(scheduler_, report, now(), results);
@@ -123,6 +161,7 @@
     fresh.quotas = std::move(scheduler_.quotas);
     fresh.known_draining = std::move(scheduler_.known_draining);
     fresh.decisions.backoffs = std::move(scheduler_.decisions.backoffs);
+    fresh.decisions.limits_named = std::move(scheduler_.decisions.limits_named);
     fresh.decisions.suspects = std::move(scheduler_.decisions.suspects);
     scheduler_ = std::move(fresh);
     return uncalled;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -128,6 +128,10 @@
     if (metadata.server_draining) {
         link_->record(notice);
     }
+    const auto is_own_answer = metadata.request_name == request.caller.name;
+    if (is_own_answer && (metadata.request_limit || !metadata.names_request_limit)) {
+        link_->record_limit(notice.server, metadata.request_limit, request.sent_at);
+    }
     request.server_backoff = metadata.requested_backoff;
     if (metadata.requested_backoff) {
         notice.backoff = metadata.requested_backoff;
@@ -270,6 +274,7 @@
     }
     const auto ran_before = request->may_have_run;
     request->may_have_run = true;
+    request->sent_at = now();
     metrics_.count_dispatch(request->work.urgency);
     request->call->send(request->method, request->target, std::move(headers), request->body);
     watch_progress(request);
--- a/src/gateway/reports.cpp
+++ b/src/gateway/reports.cpp
@@ -60,6 +60,8 @@
 /// Position of the evidence about prompt parts in reports and updates; instances of an earlier
 /// version send none.
 constexpr std::size_t suspicions_index = 10;
+/// The same for the request limits of servers.
+constexpr std::size_t limits_index = 11;
 
 /// Returns a time that another instance stated as an age, within the bounds of such statements.
 time_point read_age(const json& in, time_point now) {
@@ -113,11 +115,11 @@
     for (const auto& [workspace, spans] : value.open.used) {
         used.push_back(json::array({workspace.value, spans}));
     }
-    return cbor::encode(
-        json::array({value.open.dispatcher.value, value.open.started_as.value, std::move(running),
-                     value.open.waiting, value.document.value, value.servers_fingerprint,
-                     std::move(used), value.servers_age.count(), value.entry_instances,
-                     value.open.uptime.count(), cbor::binary(value.packed_suspicions)}));
+    return cbor::encode(json::array(
+        {value.open.dispatcher.value, value.open.started_as.value, std::move(running),
+         value.open.waiting, value.document.value, value.servers_fingerprint, std::move(used),
+         value.servers_age.count(), value.entry_instances, value.open.uptime.count(),
+         cbor::binary(value.packed_suspicions), cbor::binary(value.packed_limits)}));
 }
 
 std::optional<entry_report> unpack_report(const std::string& bytes, time_point) {
@@ -153,6 +155,9 @@
         if (in.size() > suspicions_index) {
             value.packed_suspicions = cbor::bytes_of(in.at(suspicions_index));
         }
+        if (in.size() > limits_index) {
+            value.packed_limits = cbor::bytes_of(in.at(limits_index));
+        }
         return value;
     });
 }
@@ -165,7 +170,7 @@
          ids(value.peers),
          value.newest ? json::array({value.newest->number.value, value.newest->age.count()})
                       : json(),
-         cbor::binary(value.packed_suspicions)}));
+         cbor::binary(value.packed_suspicions), cbor::binary(value.packed_limits)}));
 }
 
 std::optional<control_update> unpack_control_update(const std::string& bytes,
@@ -206,6 +211,42 @@
         if (in.size() > suspicions_index) {
             value.packed_suspicions = cbor::bytes_of(in.at(suspicions_index));
         }
+        if (in.size() > limits_index) {
+            value.packed_limits = cbor::bytes_of(in.at(limits_index));
+        }
+        return value;
+    });
+}
+
+std::string pack(const std::vector<dispatch::limit_statement>& value, time_point now) {
+    if (value.empty()) {
+        return {};
+    }
+    auto statements = json::array();
+    for (const auto& item : value) {
+        statements.push_back(
+            json::array({item.server.value, item.per_second ? json(*item.per_second) : json(),
+                         (now - item.at).count()}));
+    }
+    return cbor::encode(statements);
+}
+
+std::optional<std::vector<dispatch::limit_statement>> unpack_limits(const std::string& bytes,
+                                                                    time_point now) {
+    if (bytes.empty()) {
+        return std::nullopt;
+    }
+    return read_cbor(bytes, [&](const json& in) {
+        std::vector<dispatch::limit_statement> value;
+        for (const auto& item : in) {
+            dispatch::limit_statement told{.server = {item.at(0).get<std::uint32_t>()},
+                                           .per_second = std::nullopt,
+                                           .at = std::min(now, read_age(item.at(2), now))};
+            if (!item.at(1).is_null()) {
+                told.per_second = std::max(0.0, item.at(1).get<double>());
+            }
+            value.push_back(told);
+        }
         return value;
     });
 }
--- a/src/wire/instance_server.cpp
+++ b/src/wire/instance_server.cpp
@@ -158,7 +158,8 @@
     const auto data = in.getPayload();
     const auto about = static_cast<topic>(in.getTopic());
     std::string payload(reinterpret_cast<const char*>(data.begin()), data.size());
-    if (about == topic::grant_update || about == topic::server_notice) {
+    if (about == topic::grant_update || about == topic::server_notice ||
+        about == topic::server_limit) {
         // No caller waits for the answer, and two of three queries to a leader are of this kind: an
         // answer passed from another thread would cost as much as the query.
         event_loop_.message_handler().on_query(from, about, std::move(payload),
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -198,4 +198,18 @@
         EXPECT_FALSE(backoff(503, invalid)) << invalid;
     }
     EXPECT_LE(to_seconds(*backoff(503, "99999999999999999999")), 1e6);
+    const auto limit = [&](const std::string& value) {
+        return metadata_of(200, {{"Server-Limit", value}});
+    };
+    EXPECT_EQ(limit("2.3").request_limit, 2.3);
+    EXPECT_EQ(limit("0").request_limit, 0.0);
+    EXPECT_GT(limit("99999999999999999999").request_limit, 1e6);
+    EXPECT_FALSE(metadata_of(200, {}).names_request_limit);
+    for (const auto* unreadable : {"", "-1", "nan", "inf", "two", "2/s", "1e", "2,3"}) {
+        EXPECT_TRUE(limit(unreadable).names_request_limit) << unreadable;
+        EXPECT_FALSE(limit(unreadable).request_limit) << unreadable;
+    }
+    const auto repeated =
+        metadata_of(503, {{"Server-Limit", "4"}, {"server-limit", "1.5"}, {"Server-Limit", "x"}});
+    EXPECT_EQ(repeated.request_limit, 1.5) << "the lowest is safe whichever is meant";
 }
