One odd entry of the server list leaves the others

Here a number beyond the range of double anywhere on a page (and an invalid escape in a string) made the whole page unreadable, so that an instance kept its old list; no process ended. Slots of four billion were taken as they stood or cut to 32 bits, port 0 and addresses that are none were listed. 300,000 levels of nesting were read, but with some 60 bytes a level.

A replica's documents were looked at: they are parsed without recursion, errors are values.

OneOddEntryOfTheServerListLeavesTheOthers failed first ('1e999': the page is not readable).

--- a/include/tarragonspar/dispatch/request_limits.hpp
+++ b/include/tarragonspar/dispatch/request_limits.hpp
@@ -62,9 +62,9 @@
 
     struct limited_server {
         std::optional<double> per_second;
-        time_point at{};         ///< of the newest statement
-        bool own{false};         ///< it came in an answer to this instance
-        double available{};      ///< requests that may be sent
+        time_point at{};    ///< of the newest statement
+        bool own{false};    ///< it came in an answer to this instance
+        double available{}; ///< requests that may be sent
         time_point available_at{};
     };
 
--- a/tests/unit-deployment_request_limit.cpp
+++ b/tests/unit-deployment_request_limit.cpp
@@ -14,30 +14,30 @@
 constexpr double tolerated_in_four_seconds = 1.5 * 4.0 * named_limit + 5.0;
 
 scripted_server make_limited_server(const std::string& name, std::atomic<bool>& is_limited) {
-    return scripted_server(
-        name, [&is_limited](const received_request& request, asio::ip::tcp::socket& socket) {
-            const std::string header = is_limited ? "Server-Limit: 2.0\r\n" : "";
-            write_raw(socket, answer_with(request, "200 OK",
-                                          "Response-Signature: s\r\n" + header, "limited"));
-        });
+    return scripted_server(name, [&is_limited](const received_request& request,
+                                               asio::ip::tcp::socket& socket) {
+        const std::string header = is_limited ? "Server-Limit: 2.0\r\n" : "";
+        write_raw(socket,
+                  answer_with(request, "200 OK", "Response-Signature: s\r\n" + header, "limited"));
+    });
 }
 
 /// A slower server, so that the limited one is preferred whenever its limit allows it.
 scripted_server make_slow_server(const std::string& name) {
-    return scripted_server(
-        name, [](const received_request& request, asio::ip::tcp::socket& socket) {
-            std::this_thread::sleep_for(std::chrono::milliseconds{30});
-            write_raw(socket, complete_answer(request, "slow"));
-        });
+    return scripted_server(name,
+                           [](const received_request& request, asio::ip::tcp::socket& socket) {
+                               std::this_thread::sleep_for(std::chrono::milliseconds{30});
+                               write_raw(socket, complete_answer(request, "slow"));
+                           });
 }
 
 /// Sends requests one after the other for a time, alternating between two entry instances.
 void send_for(const platform_deployment& d, std::chrono::milliseconds time) {
     const auto end = std::chrono::steady_clock::now() + time;
     for (std::size_t i = 0; std::chrono::steady_clock::now() < end; ++i) {
-        EXPECT_EQ(d.call("GET", "/safe/x", "", {{"Attempt-Id", "r" + std::to_string(i)}}, i % 2)
-                      .status,
-                  200U);
+        EXPECT_EQ(
+            d.call("GET", "/safe/x", "", {{"Attempt-Id", "r" + std::to_string(i)}}, i % 2).status,
+            200U);
         std::this_thread::sleep_for(std::chrono::milliseconds{5});
     }
 }
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -158,6 +158,66 @@
     EXPECT_FALSE(platform::read_instances("{\"instances\":").readable);
 }
 
+// Instances that read such a list ended, or stopped following the list.
+TEST(Platform, OneOddEntryOfTheServerListLeavesTheOthers) {
+    const auto entry = [](const std::string& id, const std::string& address,
+                          const std::string& slots, const std::string& more = "") {
+        return R"({"id":")" + id + R"(","service":"s","address":")" + address +
+               R"(","zone":"a","slots":)" + slots + R"(,"state":"ready")" + more + "}";
+    };
+    const auto nested = [](std::size_t depth, const std::string& open, const std::string& close) {
+        std::string text;
+        for (std::size_t i = 0; i < depth; ++i) {
+            text += open;
+        }
+        text += "1";
+        for (std::size_t i = 0; i < depth; ++i) {
+            text += close;
+        }
+        return text;
+    };
+    constexpr std::size_t deep = 300'000;
+    const std::string long_number(400, '9');
+    for (const auto& odd : std::vector<std::string>{
+             nested(deep, "[", "]"),
+             nested(deep, "{\"a\":", "}"),
+             entry("odd", "10.0.0.9:80", "4", ",\"models\":" + nested(deep, "[", "]")),
+             "1e999",
+             "-1e999",
+             R"("\ud800")",
+             R"("\x")",
+             "\"\\\xff\"",
+             long_number,
+             entry("odd", "10.0.0.9:80", "1e999"),
+             entry("odd", "10.0.0.9:80", long_number),
+             entry("odd", "10.0.0.9:80", "18446744073709551616"),
+             entry("odd", "10.0.0.9:80", "18446744073709551615"),
+             entry("odd", "10.0.0.9:80", "4294967296"),
+             entry("odd", "10.0.0.9:80", "4000000000"),
+
+             entry("odd", "10.0.0.9:80", "-4"),
+             entry("odd", "10.0.0.9:80", "4.5"),
+             entry("odd", "10.0.0.9:65536", "4"),
+             entry("odd", "10.0.0.9:0", "4"),
+             entry("odd", "10.0.0.9:-1", "4"),
+             entry("odd", "10.0.0.9:99999999999999999999", "4"),
+             entry("odd", "10.0.0.900:80", "4"),
+             entry("odd", "10.0.0.9", "4")}) {
+        const auto page = platform::read_instances(
+            R"({"instances":[)" + entry("i-1", "10.0.0.1:80", "4") + "," + odd + "," +
+            entry("i-2", "10.0.0.2:80", "4") + R"(],"next":"p-1"})");
+        const auto what = odd.substr(0, 120);
+        ASSERT_TRUE(page.readable) << what;
+        ASSERT_EQ(page.servers.size(), 2U) << what;
+        EXPECT_EQ(page.servers[0].name + page.servers[1].name, "i-1i-2") << what;
+        EXPECT_EQ(page.next, "p-1") << what;
+    }
+    const auto born = platform::read_instances(
+        R"({"instances":[)" + entry("i-1", "10.0.0.1:80", "4", ",\"born\":1e999") + R"(]})");
+    ASSERT_EQ(born.servers.size(), 1U) << "other fields are read where they can be";
+    EXPECT_EQ(born.servers.front().started_at_ms, 0U);
+}
+
 TEST(Framing, RejectsAmbiguousRequests) {
     const auto framing_error = [](const http::header_list& headers,
                                   const std::string& target = "/a") {
