--- a/tests/unit-deployment_disk.cpp
+++ b/tests/unit-deployment_disk.cpp
@@ -100,3 +100,36 @@
         std::this_thread::sleep_for(std::chrono::milliseconds{20});
     }
 }
+
+// At another operator, changes were refused long after the last of several disks had room again.
+TEST(Deployment, ChangesAreAcceptedAfterDisksWereFullOneAfterAnother) {
+    constexpr std::size_t controls = 3;
+    platform_deployment d(controls, 1);
+    const auto server = make_healthy_server("i-1");
+    d.add_server(server, "s");
+    d.start_with(make_manifest(1));
+    int version = 1;
+    for (std::size_t turn = 0; turn < 2 * controls; ++turn) {
+        const auto full = turn < controls ? d.find_leader() : turn % controls;
+        fill_open_log(d.data_folder(full));
+        ++version;
+        for (std::size_t i = 1; i <= controls; ++i) {
+            static_cast<void>(d.publish(make_manifest(version), (full + i) % controls));
+        }
+        ASSERT_TRUE(wait_until([&] {
+            return d.publish(make_manifest(version), (full + 1) % controls).status == 200;
+        })) << "turn "
+            << turn;
+        ASSERT_TRUE(wait_until(
+            [&] { return d.is_set("tarragonspar_control_replica_runs", full); })) // it rejoins
+            << "turn " << turn;
+    }
+    for (std::size_t control = 0; control < controls; ++control) {
+        ++version;
+        EXPECT_TRUE(wait_until([&] {
+            return d.publish(make_manifest(version), control).status == 200;
+        })) << control;
+        EXPECT_TRUE(wait_until([&] { return d.read_back(control).body == make_manifest(version); }))
+            << control;
+    }
+}
