--- a/src/telemetry/explain.cpp
+++ b/src/telemetry/explain.cpp
@@ -52,6 +52,10 @@
     if (why == "no_server") {
         return "no active server offered its service; it was not run";
     }
+    if (why == "quarantined") {
+        return "servers crashed under a part of its prompt, which is kept from servers; it was not "
+               "run";
+    }
     return "no server had a free slot in time, or all servers that were tried refused it; it was "
            "not run";
 }
