Review case 3: without tenants all routes are open to any key

A manifest whose list of tenants is empty is handled like one without tenants, so keys that were just taken away, and unknown ones, are run.

--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -292,20 +292,23 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def manifest(version, routes=(), services=("s",), tenants=()):
-    return {"version": version,
-            "routes": [route("base"), *routes],
-            "services": [{"name": name, "health_path": "/health", "max_connections": 96,
-                          "protocol": "h1", "tls": False} for name in services],
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
-                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-            "tenants": list(tenants)}
-
-
-def route(name, kind="safe", service="s", attempts=2, resumable=False):
+def manifest(version, routes=(), services=("s",), tenants=None):
+    content = {
+        "version": version,
+        "routes": [route("base"), *routes],
+        "services": [{"name": name, "health_path": "/health", "max_connections": 96,
+                      "protocol": "h1", "tls": False} for name in services],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
+    if tenants is not None:
+        content["tenants"] = tenants
+    return content
+
+
+def route(name, kind="safe", service="s", attempts=2, resumable=False, anonymous=True):
     return {"name": name, "host": "h.example", "path_prefix": f"/{name}/", "kind": kind,
             "timeout_ms": 3000, "target_latency_ms": 300, "priority": 0, "service": service,
-            "max_attempts": attempts, "allow_anonymous": True, "session_affinity": False,
+            "max_attempts": attempts, "allow_anonymous": anonymous, "session_affinity": False,
             "resumable": resumable, "target_gap_ms": 800}
 
 
--- a/review/lib/servers.py
+++ b/review/lib/servers.py
@@ -90,14 +90,17 @@
         self.socket.close()
 
 
-def call(system, machine, front_port, attempt, method, path, body=b"", deadline_ms=3000):
+def call(system, machine, front_port, attempt, method, path, body=b"", deadline_ms=3000, key=None):
     """Sends a request on a new channel; returns status, headers and body, or None."""
-    system.record.write(f"send    {attempt} {method} {path} to {machine.name}")
+    with_key = f" with key {key}" if key else ""
+    system.record.write(f"send    {attempt} {method} {path} to {machine.name}{with_key}")
     try:
         with socket.create_connection((machine.address, front_port), timeout=1) as connection:
             connection.settimeout(deadline_ms / 1000)
             head = [f"{method} {path} HTTP/1.1", "Host: h.example", f"Attempt-Id: {attempt}",
                     f"Deadline-Ms: {deadline_ms}", "Connection: close"]
+            if key:
+                head.append(f"Key: {key}")
             if body or method == "POST":
                 head.append(f"Content-Length: {len(body)}")
             connection.sendall("\r\n".join(head).encode() + b"\r\n\r\n" + body)
