--- a/review/1/play.py
+++ b/review/1/play.py
@@ -20,6 +20,7 @@
 def replace(system, machine):
     system.record.write(f"replace {machine.name} is gone for good")
     machine.kill()
+    machine.is_removed = True
     time.sleep(SUCCESSOR_AFTER_S)
     successor = system.add("control", machine.zone)
     successor.start()
@@ -41,8 +42,7 @@
 def play(system, trouble):
     for index in range(CORE_MACHINES):
         system.add("control", f"z{index + 1}")
-    for machine in list(system.machines):
-        machine.start(first_start=True)
+    system.start_all()
     if not system.publish(lib.manifest(1), 10.0) or not system.publish(lib.manifest(2), 10.0):
         raise lib.CannotRun("the first manifests were not acknowledged")
     time.sleep(3.0)
@@ -58,6 +58,7 @@
     if trouble:
         final_fault(system, system.leader())
     version = system.read(READ_WITHIN_S)
+    system.check_processes()
     if version is None:
         return "CONFIG: the manifest is not read back; version 3 was acknowledged"
     if version < 3:
--- a/review/3/play.py
+++ b/review/3/play.py
@@ -25,8 +25,7 @@
     entries = [system.add("entry", f"z{index + 1}") for index in range(EDGE_MACHINES)]
     for index in range(SERVERS):
         srv.Server(system, f"i-desk{index}", "order-desk")
-    for machine in list(system.machines):
-        machine.start(first_start=True)
+    system.start_all()
     routes = [lib.route("book", "unsafe", "order-desk", attempts=1, anonymous=False)]
     tenants = [[tenant("bakery", [HELD_KEY]), tenant("hotel", [OTHER_TENANTS_KEY])],
                [tenant("bakery", [HELD_KEY])], []]
@@ -45,6 +44,7 @@
             raise lib.CannotRun(f"version {version} was not acknowledged")
         time.sleep(APPLY_S)
         held = {key for holder in holders for key in holder["api_keys"]}
+        system.check_processes()
         ran = set()
         for _ in range(ROUNDS):
             for key in (HELD_KEY, OTHER_TENANTS_KEY, NEVER_HELD_KEY):
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -86,6 +86,8 @@
         self.folder.mkdir()
         (self.folder / "data").mkdir()
         self.process = None
+        self.is_removed = False    # for good; the operator's list does not name it any more
+        self.has_started = False
 
     def fields(self, first_start):
         is_core = self.role == "control"
@@ -112,6 +114,7 @@
         with open(self.folder / "log.txt", "ab") as log:
             self.process = subprocess.Popen(role["run"].split(), cwd=REPOSITORY, env=environment,
                                             stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+        self.has_started = True
         self.deployment.record.write(f"start   {self.name} at {self.address}"
                                      f"{' first start' if first_start else ''}")
 
@@ -138,25 +141,32 @@
         for role in self.roles.values():
             if not (REPOSITORY / role["run"].split()[0]).exists():
                 raise CannotRun(f"{role['run']} is not built")
-        self.subnet = self.find_subnet()
+        self.subnet, self.reservation = self.reserve_subnet()
         self.machines, self.servers, self.stopping = [], [], False
+        self.is_founded = False
         self.list_socket = self.listen_free()
         self.list_address = f"127.0.0.1:{self.list_socket.getsockname()[1]}"
         threading.Thread(target=self.serve_list, daemon=True).start()
 
     @staticmethod
-    def find_subnet():
-        """Returns the second number of loopback addresses of which the ports are free."""
+    def reserve_subnet():
+        """Returns the second number of free loopback addresses, and the socket that reserves it.
+
+        The socket is bound as long as the deployment lasts, so that two scripts that run at the
+        same time take different addresses.
+        """
         numbers = list(range(20, 250))
         random.shuffle(numbers)
         for number in numbers:
+            reservation = socket.socket()
             try:
+                reservation.bind((f"127.{number}.0.1", INTERNAL_PORTS[0]))
                 for port in (FRONT_PORT, READINESS_PORT, CONTROL_PORT, *INTERNAL_PORTS):
                     with socket.socket() as probe:
-                        probe.bind((f"127.{number}.0.1", port))
-                return number
+                        probe.bind((f"127.{number}.1.1", port))
+                return number, reservation
             except OSError:
-                continue
+                reservation.close()
         raise CannotRun("no free loopback addresses")
 
     @staticmethod
@@ -177,10 +187,27 @@
         return [m for m in self.machines if m.role == "control" and m.runs()]
 
     def seeds(self):
-        """The `control` addresses of three machines, as the operator's list has them."""
-        listed = [m for m in self.machines if m.role == "control" and (m.process is None or m.runs())]
+        """The `control` addresses of three machines, as the operator's list has them.
+
+        Machines that are down for a while stay in the list; those that were removed don't. At the
+        first start all machines get the same three addresses.
+        """
+        controls = [m for m in self.machines if m.role == "control" and not m.is_removed]
+        listed = [m for m in controls if m.has_started] if self.is_founded else controls
         return [f"{m.address}:{CONTROL_PORT}" for m in listed[:3]]
 
+    def start_all(self):
+        """Starts the whole system for the first time."""
+        for machine in list(self.machines):
+            machine.start(first_start=True)
+        self.is_founded = True
+
+    def check_processes(self):
+        """Raises `CannotRun` where a process ended by itself, so that no case is due to that."""
+        for machine in self.machines:
+            if not machine.is_removed and not machine.runs():
+                raise CannotRun(f"{machine.name} does not run, code {machine.process.returncode}")
+
     # --- the platform's list of servers ---
 
     def serve_list(self):
@@ -286,6 +313,7 @@
         for server in self.servers:
             server.close()
         self.list_socket.close()
+        self.reservation.close()
         keep = os.environ.get("KEEP")
         if keep:
             shutil.copytree(self.folder, keep, dirs_exist_ok=True)
