--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 # own stand-ins (soak/) are not used.
 set -e
 cd "$(dirname "$0")"
-python3 -c 'import sys, tomllib, http.client; assert sys.version_info >= (3, 11)'
+python3 -c 'import sys, http.client; assert sys.version_info >= (3, 8)'
 for file in lib/*.py */play.py; do
     python3 -c 'import sys; compile(open(sys.argv[1], encoding="utf-8").read(), sys.argv[1], "exec")' "$file"
 done
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -14,10 +14,11 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
-import tomllib
+import traceback
 
 REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
 FRONT_PORT, READINESS_PORT, CONTROL_PORT = 8221, 8224, 8229
@@ -56,6 +57,24 @@
     return re.sub(r"\{\{([^}#^/]+)\}\}", replace, template)
 
 
+def read_roles(deploy_file):
+    """Returns command, template and environment of each role of the deploy file."""
+    roles, role = {}, None
+    for line in deploy_file.read_text(encoding="utf-8").splitlines():
+        section = re.fullmatch(r"\[(?:roles\.)?([\w-]+)\]", line.strip())
+        if section:
+            role = roles.setdefault(section.group(1), {"env": {}})
+            continue
+        name, _, value = line.partition("=")
+        if role is None or name.strip() not in ("run", "template", "env"):
+            continue
+        if name.strip() == "env":
+            role["env"] = dict(re.findall(r'(\w+)\s*=\s*"([^"]*)"', value))
+        else:
+            role[name.strip()] = value.strip().strip('"')
+    return roles
+
+
 class Record:
     """record.txt: what was sent, answered and run, with the seconds since the start."""
 
@@ -136,8 +155,7 @@
     def __init__(self, case_folder):
         self.record = Record(case_folder)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
-        with open(REPOSITORY / "deploy/system.toml", "rb") as file:
-            self.roles = tomllib.load(file)["roles"]
+        self.roles = read_roles(REPOSITORY / "deploy/system.toml")
         for role in self.roles.values():
             if not (REPOSITORY / role["run"].split()[0]).exists():
                 raise CannotRun(f"{role['run']} is not built")
@@ -343,6 +361,7 @@
 def run_case(case_folder, play):
     """Plays a case and returns its exit code: 1 the rule was broken, 0 it held, 2 it couldn't run."""
     deployment = None
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # still ends all processes
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         deployment = Deployment(case_folder)
@@ -355,6 +374,9 @@
         if deployment is not None:
             deployment.record.write(f"result  can't run: {why}")
         return 2
+    except Exception:  # an error of the script is no result
+        traceback.print_exc()
+        return 2
     finally:
         if deployment is not None:
             deployment.end()
