--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -24,6 +24,7 @@
 FRONT_PORT, READINESS_PORT, CONTROL_PORT = 8221, 8224, 8229
 INTERNAL_PORTS = [7600, 7615]
 LIST_RATE_PER_S = 40.0
+LONGEST_RUN_S = 115  # a script may run for 120 s
 BOUNDS = {"seed_lag_s": 3, "address_reuse_s": 2, "stable_window_ms": 3000, "ack_ms": 4000,
           "catch_up_s": 4, "drain_ms": 3000, "grace_s": 8, "loss_slack_ms": 200,
           "config_apply_ms": 2000, "rollback_slack_ms": 250, "max_stretch_ms": 5000,
@@ -154,11 +155,11 @@
 class Deployment:
     def __init__(self, case_folder):
         self.record = Record(case_folder)
-        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.roles = read_roles(REPOSITORY / "deploy/system.toml")
         for role in self.roles.values():
             if not (REPOSITORY / role["run"].split()[0]).exists():
                 raise CannotRun(f"{role['run']} is not built")
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.subnet, self.reservation = self.reserve_subnet()
         self.machines, self.servers, self.stopping = [], [], False
         self.is_founded = False
@@ -361,8 +362,10 @@
 def run_case(case_folder, play):
     """Plays a case and returns its exit code: 1 the rule was broken, 0 it held, 2 it couldn't run."""
     deployment = None
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # still ends all processes
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, lambda *_: sys.exit(2))  # still ends all processes
+    signal.alarm(LONGEST_RUN_S)
+    trouble = sys.argv[1:] != ["--trouble", "off"]
     try:
         deployment = Deployment(case_folder)
         deployment.record.write(f"trouble {'on' if trouble else 'off'}")
--- a/review/lib/servers.py
+++ b/review/lib/servers.py
@@ -69,13 +69,16 @@
 
     def answer(self, connection, start, headers):
         attempt = headers.get("attempt-id", "")
+        if start.startswith("GET /health "):
+            self.respond(connection, attempt, 200, [b"Instance-Id: " + self.name.encode()], b"")
+            return
         if headers.get("expect-instance") not in (None, self.name):
             self.respond(connection, attempt, 421, [b"Not-Executed: 1"], b"")
             return
         status = 500 if random.random() < self.fails else 200
         self.runs.append((time.monotonic(), attempt, status))
         self.system.record.write(f"run     {self.name} runs {attempt} ({start.split()[1]}), "
-                                 f"answers {status}")
+                                 f"Tenant={headers.get('tenant')}, answers {status}")
         time.sleep(self.work_s)
         self.respond(connection, attempt, status, [b"Response-Signature: s." + self.name.encode()],
                      f"answer to {attempt} by {self.name}".encode())
