--- a/review/3/play.py
+++ b/review/3/play.py
@@ -38,7 +38,8 @@
                           "POST", "/book/x", b"one sack", key=key)
         return answer and answer[0]
 
-    for version, holders in enumerate(tenants if trouble else tenants[:2], start=1):
+    # Without the disruption the same versions are published, and no key is taken away.
+    for version, holders in enumerate(tenants if trouble else 3 * tenants[:1], start=1):
         document = lib.manifest(version, routes, ["s", "order-desk"], holders)
         if not system.publish(document, 10.0):
             raise lib.CannotRun(f"version {version} was not acknowledged")
