Replaced control instances leave the group, whatever other members do

Cause: a voter was removed only if all other voters had been in contact within a second, so two absent voters kept each other in the group; and each new leader counted an absence from its own election, so that losses of the leader less than 8 s plus an election apart never led to a removal. Six voters of which two are gone need all four that live.

Ruled out: a removal that was proposed and not committed (no such line), a successor that joined late (it is a voter within a second after the election), members of an earlier life of an address (all addresses differ).

Change: the decisions of who joins and leaves stand in control/group_changes, without I/O. A removal needs a majority of the rest in contact. Appends carry how long members have been absent, and the next leader starts from it. A voter that another one has replaced leaves 3 s after its last contact. Learners are promoted as soon as they have caught up; absent learners leave. A voter that asks to join since it hears of no leader counts as living. Log lines, two series and the status tell members, last contacts and why a removal waits.

--- a/include/tarragonspar/consensus/replica.hpp
+++ b/include/tarragonspar/consensus/replica.hpp
@@ -80,6 +80,9 @@
     time_point election_due{};
     time_point heartbeat_due{};
     time_point leader_last_seen{};
+    std::optional<replica_id> last_leader; ///< the one of `leader_last_seen`
+    /// Last contact of a leader with members that it reported as absent.
+    std::map<replica_id, time_point> absent;
     std::set<replica_id> votes;
     std::map<replica_id, follower_progress> followers;
     std::uint64_t round{};
--- a/include/tarragonspar/consensus/types.hpp
+++ b/include/tarragonspar/consensus/types.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "tarragonspar/types/ids.hpp"
+#include "tarragonspar/types/units.hpp"
 
 /// @brief Raft consensus on a replicated log among at most seven replicas, without I/O.
 namespace tarragonspar::consensus {
@@ -71,6 +72,13 @@
     bool pre_vote{false};
 };
 
+/// @brief A member that the leader has had no contact with for some time.
+struct member_absence {
+    replica_id member;
+    duration age{}; ///< since the last contact, when the message was sent
+    friend bool operator==(const member_absence&, const member_absence&) = default;
+};
+
 /// Sent by the leader; without entries it is a heartbeat.
 struct append_request {
     log_index previous_index;
@@ -78,6 +86,9 @@
     std::vector<entry> entries;
     log_index commit;
     std::uint64_t round{}; ///< number of the leader's round of heartbeats
+    /// Members without contact for longer than the shortest election timeout. The next leader
+    /// starts from these ages instead of from its election.
+    std::vector<member_absence> absent;
 };
 
 struct append_reply {
--- a/include/tarragonspar/runtime/control_service.hpp
+++ b/include/tarragonspar/runtime/control_service.hpp
@@ -8,11 +8,14 @@
 #include <mutex>
 #include <optional>
 #include <random>
+#include <string_view>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/thread_pool.hpp>
+#include <nlohmann/json_fwd.hpp>
 
 #include "tarragonspar/consensus/replica.hpp"
+#include "tarragonspar/control/group_changes.hpp"
 #include "tarragonspar/control/replica_store.hpp"
 #include "tarragonspar/control/state.hpp"
 #include "tarragonspar/runtime/config_service.hpp"
@@ -32,6 +35,7 @@
     bool may_found{false};       ///< open groups: with a new disk, this instance is a founder
     config::configuration first; ///< accepted as revision 1 when the group is formed
     consensus::replica_options consensus;
+    control::group_change_options group_changes;  ///< open groups
     std::size_t compact_after{512};               ///< applied entries between two snapshots
     std::uint64_t compact_bytes{8 * 1024 * 1024}; ///< log size that triggers a snapshot
 };
@@ -55,6 +59,8 @@
         bool is_current{false};
         std::optional<instance_id> leader;
         std::vector<instance_id> members; ///< voters and learners
+        std::size_t voters{};
+        std::size_t absent{}; ///< members that a leader has no contact with
         consensus::term_number term;
 
         bool operator==(const group_view&) const = default;
@@ -184,7 +190,18 @@
     void fail_pending_operations();
     void compact_if_due();
     void request_join();
-    void remove_absent_voter();
+    /// @brief Promotes learners that have caught up; open groups: removes absent members.
+    void change_group();
+    void promote_learner(time_point time);
+    void remove_absent_member(time_point time);
+    /// @brief Proposes a group and logs the member that it adds, promotes or removes.
+    void propose_member(std::string_view event, consensus::replica_id member,
+                        consensus::group next);
+    /// @brief Logs the absence of members and why the longest absent one is not removed, where that
+    /// has changed.
+    void log_removal_state(const control::removal& removal);
+    /// @brief The other members with their last contact, for the status of a leader.
+    [[nodiscard]] nlohmann::json describe_members() const;
     /// @brief Publishes the lease and reports the group where it has changed.
     void notify_group_change();
     void on_read_ready(const consensus::read_ready& ready);
@@ -246,6 +263,8 @@
     document_listener on_document_;
     group_listener on_group_;
     disk_listener on_disk_;
+    control::group_changes group_changes_;
+    control::removal reported_removal_;
     group_view reported_;
     std::atomic<time_point> lead_lease_end_{time_point::min()};
     bool configuration_requested_{false};
--- a/include/tarragonspar/telemetry/metrics.hpp
+++ b/include/tarragonspar/telemetry/metrics.hpp
@@ -67,6 +67,10 @@
     /// @param runs  whether its disk can be used
     void set_control_replica(bool runs, bool is_voter, bool leads);
 
+    /// @brief Sets the size of the control group as known to this instance.
+    /// @param absent  members that it has no contact with; 0 unless it leads
+    void set_control_members(std::size_t voters, std::size_t absent);
+
     /// @brief Records the publication of a document that an operator sent to this instance.
     void record_publication(bool acknowledged, duration waited);
 
@@ -97,6 +101,8 @@
     prometheus::Gauge* control_runs_;
     prometheus::Gauge* control_is_voter_;
     prometheus::Gauge* control_leads_;
+    prometheus::Gauge* control_voters_;
+    prometheus::Gauge* control_absent_members_;
     prometheus::Family<prometheus::Histogram>* publications_;
     prometheus::Family<prometheus::Histogram>* disk_writes_;
     std::size_t max_workspaces_;
--- a/src/consensus/codec.cpp
+++ b/src/consensus/codec.cpp
@@ -1,5 +1,7 @@
 #include "tarragonspar/consensus/types.hpp"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include "tarragonspar/types/cbor.hpp"
@@ -56,6 +58,21 @@
             .members = group_from_json(in.at(2))};
 }
 
+/// Position of the absent members in the array of an append request.
+constexpr std::size_t absences_position = 5;
+/// Longest absence that is accepted, so that a malformed one can't overflow a time.
+constexpr duration max_absence = std::chrono::hours{24};
+
+std::vector<member_absence> absences_from_json(const json& list) {
+    std::vector<member_absence> out;
+    for (const auto& item : list) {
+        const duration age{item.at(1).get<std::int64_t>()};
+        out.push_back({.member = {item.at(0).get<std::uint64_t>()},
+                       .age = std::clamp(age, duration::zero(), max_absence)});
+    }
+    return out;
+}
+
 /// Converts a message body to the array of its fields; its kind is written separately.
 struct body_writer {
     json operator()(const vote_request& value) const {
@@ -69,8 +86,12 @@
         for (const auto& item : value.entries) {
             entries.push_back(entry_to_json(item));
         }
+        json absent = json::array();
+        for (const auto& item : value.absent) {
+            absent.push_back(json::array({item.member.value, item.age.count()}));
+        }
         return json::array({value.previous_index.value, value.previous_term.value, entries,
-                            value.commit.value, value.round});
+                            value.commit.value, value.round, absent});
     }
     json operator()(const append_reply& value) const {
         return json::array({value.success, value.match.value, value.round});
@@ -97,10 +118,15 @@
                              .previous_term = {in.at(1).get<std::uint64_t>()},
                              .entries = {},
                              .commit = {in.at(3).get<std::uint64_t>()},
-                             .round = in.at(4).get<std::uint64_t>()};
+                             .round = in.at(4).get<std::uint64_t>(),
+                             .absent = {}};
         for (const auto& item : in.at(2)) {
             value.entries.push_back(entry_from_json(item));
         }
+        // Earlier versions don't send absences.
+        if (in.size() > absences_position) {
+            value.absent = absences_from_json(in.at(absences_position));
+        }
         return value;
     }
     case 3:
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -77,6 +77,18 @@
     }
 }
 
+/// Members that this leader has had no contact with for longer than the shortest election timeout.
+std::vector<member_absence> absent_members(const context& in) {
+    std::vector<member_absence> out;
+    for (const auto& [id, progress] : in.self.followers) {
+        const auto age = in.now - progress.last_seen;
+        if (age > in.self.options.election_min) {
+            out.push_back({.member = id, .age = age});
+        }
+    }
+    return out;
+}
+
 void send_entries(context& in, replica_id to, follower_progress& progress) {
     if (progress.next <= in.self.snapshot.index) {
         const auto offset = progress.snapshot_offset.value_or(0);
@@ -99,10 +111,23 @@
                            .previous_term = *term_at(in.self, previous),
                            .entries = std::move(entries),
                            .commit = in.self.commit,
-                           .round = in.self.round});
+                           .round = in.self.round,
+                           .absent = absent_members(in)});
     progress.next.value += count;
 }
 
+/// When a new leader or its predecessors last had contact with a member. A member that is not known
+/// to be absent counts as seen now, so that it has time to answer.
+time_point last_known_contact(const context& in, replica_id id) {
+    if (in.self.votes.contains(id)) {
+        return in.now;
+    }
+    if (const auto found = in.self.absent.find(id); found != in.self.absent.end()) {
+        return found->second;
+    }
+    return in.self.last_leader == id ? in.self.leader_last_seen : in.now;
+}
+
 /// Adds and removes follower progress to match the group in force.
 void update_followers(context& in) {
     const auto members = current_group(in.self);
@@ -185,6 +210,9 @@
     in.self.rounds.clear();
     in.effects.emplace_back(role_changed{.now = role::leader, .term = in.self.term});
     update_followers(in);
+    for (auto& [id, progress] : in.self.followers) {
+        progress.last_seen = last_known_contact(in, id);
+    }
     append_as_leader(in, entry_kind::barrier, {});
     advance_commit(in);
     broadcast(in);
@@ -324,6 +352,7 @@
 void follow_leader(context& in, const message& from) {
     become_follower(in, from.term, from.from);
     in.self.leader_last_seen = in.now;
+    in.self.last_leader = from.from;
     reset_election(in);
 }
 
@@ -334,6 +363,10 @@
         return;
     }
     follow_leader(in, from);
+    in.self.absent.clear();
+    for (const auto& item : request.absent) {
+        in.self.absent[item.member] = in.now - item.age;
+    }
     const auto previous = request.previous_index;
     const auto matches =
         previous < in.self.snapshot.index || term_at(in.self, previous) == request.previous_term;
--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -158,6 +158,7 @@
     const auto led_before = group_.leads;
     group_ = std::move(group);
     metrics_.set_control_replica(group_.runs, group_.is_voter, group_.leads);
+    metrics_.set_control_members(group_.voters, group_.absent);
     if (group_.leads && !led_before) {
         list_ = {};
         lost_lease_at_ = {};
--- a/src/runtime/control_commands.cpp
+++ b/src/runtime/control_commands.cpp
@@ -73,31 +73,22 @@
 }
 
 void control_service::handle_join(consensus::replica_id joining) {
-    if (!replica_ || replica_->current != consensus::role::leader || is_changing_group(*replica_)) {
+    if (!replica_ || replica_->current != consensus::role::leader) {
         return;
     }
-    auto next = current_group(*replica_);
-    const auto is_voter =
-        std::find(next.voters.begin(), next.voters.end(), joining) != next.voters.end();
-    if (is_voter) {
+    const auto time = now_with_suspension();
+    control::update_term(group_changes_, *replica_, time);
+    const auto voters = current_group(*replica_).voters;
+    if (std::find(voters.begin(), voters.end(), joining) != voters.end()) {
+        // A voter asks when it hears of no leader: it lives, although this leader may not reach it.
+        control::record_heard_of(group_changes_, joining, time);
         return;
     }
-    const auto learner = std::find(next.learners.begin(), next.learners.end(), joining);
-    if (learner == next.learners.end()) {
-        const auto same_instance = [&](consensus::replica_id id) {
-            return instance_of(id) == instance_of(joining);
-        };
-        std::erase_if(next.voters, same_instance);
-        std::erase_if(next.learners, same_instance);
-        next.learners.push_back(joining);
-    } else if (is_caught_up(*replica_, joining)) {
-        next.learners.erase(learner);
-        next.voters.push_back(joining);
-        std::sort(next.voters.begin(), next.voters.end());
-    } else {
-        return;
+    auto next = control::add_learner(*replica_, joining);
+    if (!next) {
+        return; // the replica asks again
     }
-    step(consensus::propose_group{.token = ++next_token_, .next = std::move(next)});
+    propose_member("control_admits", joining, std::move(*next));
 }
 
 void control_service::submit_locally(const control::command& command, std::string bytes,
--- a/src/runtime/control_group.cpp
+++ b/src/runtime/control_group.cpp
@@ -19,15 +19,6 @@
 
 namespace {
 
-/// Time without contact after which a voter may be replaced by another. Longer than the longest
-/// outage that a deployment recovers from by itself, so that restarts and network cuts do not
-/// change the group.
-constexpr duration absent_voter_timeout = std::chrono::seconds{8};
-/// A voter is removed only if all other voters were in contact within this time.
-constexpr duration max_contact_age = std::chrono::seconds{1};
-/// No voter is removed from a group with fewer voters: two of three still form a majority.
-constexpr std::size_t min_voters = 4;
-
 /// Decodes a document from another instance; nothing when the bytes are malformed.
 std::optional<config::document> decode_document(const std::string& bytes) {
     try {
@@ -93,41 +84,72 @@
     return error;
 }
 
-void control_service::remove_absent_voter() {
-    const auto is_allowed = options_.open_group && replica_ && !failed_ &&
-                            replica_->current == consensus::role::leader &&
-                            !is_changing_group(*replica_);
-    if (!is_allowed) {
+void control_service::propose_member(std::string_view event, consensus::replica_id member,
+                                     consensus::group next) {
+    telemetry::write(
+        telemetry::log_line(event)
+            .add("instance", settings::instance_address(consensus::instance_of(member)))
+            .add("voters", static_cast<std::int64_t>(next.voters.size()))
+            .add("learners", static_cast<std::int64_t>(next.learners.size())));
+    step(consensus::propose_group{.token = ++next_token_, .next = std::move(next)});
+}
+
+void control_service::change_group() {
+    if (!replica_ || failed_) {
         return;
     }
-    auto next = current_group(*replica_);
-    if (next.voters.size() < min_voters) {
-        return;
+    const auto time = now_with_suspension();
+    control::update_term(group_changes_, *replica_, time);
+    promote_learner(time);
+    remove_absent_member(time);
+}
+
+void control_service::promote_learner(time_point time) {
+    auto promotion =
+        control::next_promotion(group_changes_, *replica_, options_.group_changes, time);
+    if (promotion) {
+        control::record_promotion(group_changes_, time);
+        propose_member("control_promotes", promotion->member, std::move(promotion->next));
     }
-    std::optional<consensus::replica_id> absent;
-    for (const auto id : next.voters) {
-        if (id == replica_->self) {
-            continue;
-        }
-        const auto found = replica_->followers.find(id);
-        if (found == replica_->followers.end()) {
-            return;
-        }
-        const auto since_contact = now_with_suspension() - found->second.last_seen;
-        if (since_contact > absent_voter_timeout && !absent) {
-            absent = id;
-        } else if (since_contact > max_contact_age) {
-            return;
-        }
+}
+
+void control_service::remove_absent_member(time_point time) {
+    if (!options_.open_group || !replica_ || failed_) {
+        return; // the disk may have failed with the promotion
     }
-    if (!absent) {
+    auto removal = control::next_removal(group_changes_, *replica_, options_.group_changes, time);
+    log_removal_state(removal);
+    if (!removal.next) {
         return;
     }
-    std::erase(next.voters, *absent);
-    telemetry::write(
-        telemetry::log_line("control_removes_absent")
-            .add("instance", settings::instance_address(consensus::instance_of(*absent))));
-    step(consensus::propose_group{.token = ++next_token_, .next = std::move(next)});
+    control::record_removal(group_changes_, removal, time);
+    propose_member("control_removes_absent", *removal.member, std::move(*removal.next));
+}
+
+void control_service::log_removal_state(const control::removal& removal) {
+    if (removal.state == reported_removal_.state && removal.member == reported_removal_.member) {
+        return;
+    }
+    reported_removal_ = removal;
+    auto line = telemetry::log_line("control_removal");
+    line.add("state", control::to_string(removal.state));
+    if (removal.member) {
+        line.add("instance", settings::instance_address(consensus::instance_of(*removal.member)))
+            .add("absent_ms", to_milliseconds(removal.absent_for));
+    }
+    telemetry::write(line);
+}
+
+json control_service::describe_members() const {
+    json list = json::array();
+    const auto contacts = control::contacts_of(group_changes_, *replica_, now_with_suspension());
+    for (const auto& contact : contacts) {
+        const auto address = settings::instance_address(consensus::instance_of(contact.id));
+        list.push_back({{"instance", address},
+                        {"is_voter", contact.is_voter},
+                        {"last_contact_ms", to_milliseconds(contact.age)}});
+    }
+    return list;
 }
 
 time_point control_service::lead_lease_end() const {
@@ -147,6 +169,15 @@
     }
     group_view view;
     const auto voters = current_group(*replica_).voters;
+    view.voters = voters.size();
+    if (replica_->current == consensus::role::leader) {
+        const auto contacts =
+            control::contacts_of(group_changes_, *replica_, now_with_suspension());
+        view.absent = static_cast<std::size_t>(
+            std::count_if(contacts.begin(), contacts.end(), [&](const auto& contact) {
+                return contact.age > options_.group_changes.max_contact_age;
+            }));
+    }
     view.runs = !failed_;
     view.is_voter = std::find(voters.begin(), voters.end(), replica_->self) != voters.end();
     view.leads = view.runs && replica_->current == consensus::role::leader;
@@ -170,7 +201,9 @@
             .add("is_current", view.is_current ? 1 : 0)
             .add("leader", view.leader ? settings::instance_address(*view.leader) : "none")
             .add("term", static_cast<std::int64_t>(view.term.value))
-            .add("others", static_cast<std::int64_t>(view.members.size())));
+            .add("others", static_cast<std::int64_t>(view.members.size()))
+            .add("voters", static_cast<std::int64_t>(view.voters))
+            .add("absent", static_cast<std::int64_t>(view.absent)));
     on_group_(std::move(view));
 }
 
--- a/src/runtime/control_service.cpp
+++ b/src/runtime/control_service.cpp
@@ -300,7 +300,7 @@
     step(consensus::ticked{});
     compact_if_due();
     request_join();
-    remove_absent_voter();
+    change_group();
     notify_group_change();
     schedule_tick();
 }
@@ -527,6 +527,10 @@
             out["is_voter"] = std::find(members.voters.begin(), members.voters.end(), own.self) !=
                               members.voters.end();
             out["keys"] = self->state_.keys.records.size();
+            if (own.current == consensus::role::leader) {
+                out["members"] = self->describe_members();
+                out["removal"] = control::to_string(self->reported_removal_.state);
+            }
         }
         callback(out.dump());
     });
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -67,6 +67,10 @@
                               "1 while the control replica's log has it as a voter")),
       control_leads_(gauge(*registry_, "tarragonspar_control_replica_leads",
                            "1 while the control replica leads")),
+      control_voters_(gauge(*registry_, "tarragonspar_control_voters",
+                            "Voters of the control group by the control replica's log")),
+      control_absent_members_(gauge(*registry_, "tarragonspar_control_absent_members",
+                                    "Members that the leading control replica can't reach")),
       publications_(histogram_family(*registry_, "tarragonspar_publication_seconds",
                                      "Time from an operator's document to its answer")),
       disk_writes_(histogram_family(*registry_, "tarragonspar_control_disk_write_seconds",
@@ -145,6 +149,11 @@
     control_leads_->Set(leads ? 1 : 0);
 }
 
+void metrics::set_control_members(std::size_t voters, std::size_t absent) {
+    control_voters_->Set(static_cast<double>(voters));
+    control_absent_members_->Set(static_cast<double>(absent));
+}
+
 void metrics::record_publication(bool acknowledged, duration waited) {
     publications_->Add({{"acknowledged", acknowledged ? "true" : "false"}}, wait_buckets)
         .Observe(to_seconds(waited));
--- a/tests/consensus_cluster.hpp
+++ b/tests/consensus_cluster.hpp
@@ -98,6 +98,12 @@
         replicas_.insert_or_assign(id, consensus::make_replica({}, id, disk, now_, random_));
     }
 
+    /// Starts a replica with an empty disk, which is no member yet.
+    void add(consensus::replica_id id) {
+        disks_[id] = {};
+        start(id);
+    }
+
     /// Restarts the instance with an empty disk and a new replica id.
     consensus::replica_id replace_disk(consensus::replica_id id) {
         crash(id);
--- a/tests/unit-deployment_control.cpp
+++ b/tests/unit-deployment_control.cpp
@@ -1,4 +1,5 @@
 #include <future>
+#include <set>
 
 #include <gtest/gtest.h>
 
@@ -169,6 +170,45 @@
     EXPECT_TRUE(wait_until([&] { return d.read_back(3).status == 200; }));
 }
 
+// Two instances that were replaced one after the other stayed voters for good: each prevented the
+// other's removal, and the loss of one more disk left no majority.
+TEST(Deployment, AControlGroupSurvivesALostDiskAfterTwoReplacements) {
+    constexpr std::size_t first_size = 4;
+    platform_deployment d(first_size + 2, 1);
+    const auto start_controls = [&](const std::vector<std::size_t>& indexes, bool first_start) {
+        for (const auto index : indexes) {
+            d.start_control(index, first_start, {0, 1, 2});
+        }
+    };
+    start_controls({0, 1, 2, 3}, true);
+    ASSERT_TRUE(wait_until([&] { return d.publish(make_manifest(1), 1).status == 200; }));
+    ASSERT_TRUE(wait_until([&] { return d.read_back(3).status == 200; }));
+    std::set<std::size_t> running{0, 1, 2, 3};
+    for (const std::size_t successor : {first_size, first_size + 1}) {
+        const auto gone = d.find_leader();
+        d.stop_control(gone);
+        running.erase(gone);
+        const std::vector<std::size_t> seeds(running.begin(), running.end());
+        d.start_control(successor, false, seeds);
+        running.insert(successor);
+        ASSERT_TRUE(wait_until([&] { return d.read_back(successor).status == 200; }));
+        // The least time between two losses; after the second one, time for both removals.
+        std::this_thread::sleep_for(std::chrono::seconds{successor == first_size ? 6 : 12});
+    }
+    const auto any = *running.begin();
+    ASSERT_TRUE(wait_until([&] { return d.publish(make_manifest(2), any).status == 200; }));
+    for (const auto index : running) {
+        d.stop_control(index);
+    }
+    d.wipe_control(*running.rbegin());
+    const std::vector<std::size_t> seeds(running.begin(), std::prev(running.end()));
+    for (const auto index : running) {
+        d.start_control(index, false, seeds);
+    }
+    ASSERT_TRUE(wait_until([&] { return d.read_back(any).status == 200; }));
+    EXPECT_EQ(d.read_back(any).body, make_manifest(2));
+}
+
 TEST(Deployment, RequestsAreServedWhileNoControlInstanceRuns) {
     platform_deployment d(1, 1);
     const auto server = make_healthy_server("i-1");
