An empty list of tenants still requires keys

Cause: the reader of manifests dropped the difference between an empty list and none, and admission asked for a key only if the catalogue had a workspace. Ruled out: a version that is not in force (the same version with one tenant left gives 401), a look-up in an older catalogue (keys that were never held are let in).

Change: the catalogue says whether keys are required. `null` counts as absent; another type makes the manifest invalid.

--- a/include/tarragonspar/config/catalogue.hpp
+++ b/include/tarragonspar/config/catalogue.hpp
@@ -84,6 +84,9 @@
     std::vector<route> routes;
     std::vector<service> services;
     std::vector<workspace> workspaces;
+    /// Callers need the key of a workspace on routes that aren't anonymous. It can be set with an
+    /// empty list of workspaces: then no caller has a key.
+    bool keys_required{false};
     caller_limits limits;
 };
 
--- a/src/gateway/relay_admission.cpp
+++ b/src/gateway/relay_admission.cpp
@@ -74,7 +74,7 @@
         return nullptr;
     }
     const config::workspace* workspace = nullptr;
-    const auto key_required = !catalogue_->value().workspaces.empty() && !route->anonymous_allowed;
+    const auto key_required = catalogue_->value().keys_required && !route->anonymous_allowed;
     if (!caller.workspace_key.empty()) {
         workspace = catalogue_->find_workspace(caller.workspace_key);
     }
--- a/tests/unit-deployment.cpp
+++ b/tests/unit-deployment.cpp
@@ -116,6 +116,20 @@
     EXPECT_TRUE(server.seen().empty());
 }
 
+// After the last workspace was taken out, requests with its key and with unknown keys were run.
+TEST(Deployment, NoKeyIsAcceptedAfterTheLastWorkspaceIsRemoved) {
+    const auto server = make_healthy_server("i-1");
+    platform_deployment d;
+    d.add_server(server, "s");
+    d.start_with(make_manifest(1));
+    ASSERT_EQ(d.call("GET", "/safe/x", "", {}).status, 200U);
+    auto emptied = nlohmann::json::parse(make_manifest(2));
+    emptied["tenants"] = nlohmann::json::array();
+    ASSERT_EQ(d.publish(emptied.dump()).status, 200U);
+    EXPECT_TRUE(wait_until([&] { return d.call("GET", "/safe/x", "", {}).status == 401; }));
+    EXPECT_EQ(d.call("GET", "/safe/x", "", {{"Key", "never held"}}).status, 401U);
+}
+
 TEST(Deployment, DoesNotForwardATruncatedAnswerAsComplete) {
     const scripted_server truncating(
         "i-1", [](const received_request& request, asio::ip::tcp::socket& socket) {
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -124,6 +124,24 @@
     EXPECT_EQ(value.workspaces[0].urgency, tier{1});
 }
 
+// A manifest without the last tenant was handled like one without tenants: any key was let in.
+TEST(Platform, AnEmptyListOfTenantsStillRequiresKeys) {
+    const std::string parts = R"({"version":7,"routes":[],"services":[])";
+    const auto keys_required = [&](const std::string& rest) {
+        const auto read = platform::read_manifest(parts + rest + "}");
+        EXPECT_TRUE(read.errors.empty()) << rest;
+        return read.value.keys_required;
+    };
+    EXPECT_TRUE(keys_required(R"(,"tenants":[])"));
+    EXPECT_TRUE(keys_required(R"(,"tenants":[{"name":"w","api_keys":[]}])"));
+    EXPECT_FALSE(keys_required(""));
+    EXPECT_FALSE(keys_required(R"(,"tenants":null)"));
+    for (const auto* odd : {"{}", "\"w\"", "0", "false"}) {
+        const auto text = parts + R"(,"tenants":)" + odd + "}";
+        EXPECT_FALSE(platform::read_manifest(text).errors.empty()) << odd;
+    }
+}
+
 TEST(Platform, RejectsATruncatedManifest) {
     const std::string complete = manifest;
     for (std::size_t size = 0; size < complete.size(); ++size) {
