All answers that an instance keeps are bounded together

What callers would see (report of another operator): a server that sends bytes without end makes an instance run out of memory, which ends the requests of its other callers.

Cause: heads, interim answers, chunk parts, bodies and events were bounded one by one (1 MiB for a body or an event), their sum was not. Ruled out: a single answer without a bound (unit-backend_call has a test for each part of an answer). A page of the list of servers was bounded to 4 MiB, which took 117 MB once it was read.

A page of the list has 1 MiB at most (29 MB once read).

Open: what the kernel holds unread, and the heads of thousands of calls at once (docs/incidents).

--- a/include/tarragonspar/gateway/entry_instance.hpp
+++ b/include/tarragonspar/gateway/entry_instance.hpp
@@ -15,6 +15,7 @@
 #include "tarragonspar/gateway/query_handler.hpp"
 #include "tarragonspar/gateway/relayed_request.hpp"
 #include "tarragonspar/gateway/server_directory.hpp"
+#include "tarragonspar/http/buffer_budget.hpp"
 #include "tarragonspar/http/server.hpp"
 #include "tarragonspar/settings/instance_settings.hpp"
 #include "tarragonspar/telemetry/metrics.hpp"
@@ -117,6 +118,7 @@
     std::uint64_t next_sequence_{0};
     admission::retry_allowance retries_;
     admission::usage_window usage_;
+    http::buffer_budget answer_buffers_; ///< of all answers that are not forwarded yet
     std::mt19937_64 random_;
 };
 
--- a/src/gateway/relay_answer.cpp
+++ b/src/gateway/relay_answer.cpp
@@ -16,11 +16,13 @@
 namespace {
 
 /// Largest answer that is buffered until it is complete; a larger one is forwarded as it arrives.
+/// It is less while many answers are buffered, see `http::buffer_budget`.
 constexpr std::size_t max_buffered_answer = 1024 * 1024;
 /// Largest answer that is no event stream. It is many times the size of what services send, so a
 /// larger answer is taken to be endless.
 constexpr std::size_t max_answer = 64 * 1024 * 1024;
-/// Largest single event; some thousand tokens take some tens of kilobytes.
+/// Largest single event; some thousand tokens take some tens of kilobytes. It is less while many
+/// answers are buffered.
 constexpr std::size_t max_event = 1024 * 1024;
 
 /// Events of one server that may continue a stream.
@@ -54,6 +56,7 @@
         co_return attempt_end::failed; // a started stream can only be continued by a stream
     }
     std::string body;
+    http::buffered_bytes held(answer_buffers_);
     bool complete = false;
     while (!complete) {
         auto part = co_await request->call->read_body();
@@ -76,7 +79,8 @@
             }
             co_return attempt_end::failed;
         }
-        if (body.size() > max_buffered_answer || request->response_started) {
+        held.set(body.size());
+        if (held.is_excessive(max_buffered_answer) || request->response_started) {
             if (!request->response_started) {
                 request->response_started = true;
                 request->status = head.status;
@@ -85,6 +89,7 @@
             request->bytes_sent += body.size();
             auto piece = std::exchange(body, {});
             co_await with.write(std::move(piece));
+            held.set(0);
         }
     }
     if (request->response_started) {
@@ -111,6 +116,7 @@
                                                                   http::exchange& with,
                                                                   http::answer_head head) {
     http::event_splitter splitter;
+    http::buffered_bytes held(answer_buffers_);
     continued_stream progress{.after = request->last_event, .newest = {}};
     bool has_events = false;
     while (true) {
@@ -129,7 +135,8 @@
                 co_return attempt_end::stopped;
             }
         }
-        const auto is_oversized = splitter.unfinished() > max_event;
+        held.set(splitter.unfinished());
+        const auto is_oversized = held.is_excessive(max_event);
         has_events = has_events || !events.empty();
         if (part.broken) {
             co_return end_of_broken_answer(*request); // an incomplete event is dropped
--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -15,8 +15,9 @@
 namespace {
 
 constexpr unsigned status_ok = 200;
-/// Largest accepted page; a page of some dozen entries takes some kilobytes.
-constexpr std::size_t max_page_bytes = 4 * 1024 * 1024;
+/// Largest accepted page; a page of a thousand entries takes some 300 kilobytes. A page of many
+/// tiny values takes thirty times its size in memory.
+constexpr std::size_t max_page_bytes = 1024 * 1024;
 /// Used share of the platform's rate: calls come in bursts, and in a network partition two groups
 /// of readers don't know of each other.
 constexpr double rate_share = 0.5;
--- a/tests/deployment_fixture.hpp
+++ b/tests/deployment_fixture.hpp
@@ -169,13 +169,14 @@
 
     /// @param name  listed instead of the server's own name, so that one may stand for several
     void add_server(const scripted_server& server, const std::string& service,
-                    const std::string& state = "ready", const std::string& name = {}) {
+                    const std::string& state = "ready", const std::string& name = {},
+                    std::size_t slots = 4) {
         const std::lock_guard lock(mutex_);
         listed_.push_back({{"id", name.empty() ? server.name() : name},
                            {"service", service},
                            {"address", server.address()},
                            {"zone", "a"},
-                           {"slots", 4},
+                           {"slots", slots},
                            {"state", state}});
     }
 
--- a/tests/unit-server_directory.cpp
+++ b/tests/unit-server_directory.cpp
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include "endless_server.hpp"
+#include "platform_dialect.hpp"
 #include "tarragonspar/gateway/server_directory.hpp"
 
 namespace {
@@ -33,3 +35,27 @@
     EXPECT_EQ(paced_interval({.interval = milliseconds{500}}, 40, 60), milliseconds{500})
         << "unlimited without a rate";
 }
+
+// A page that never ends is given up within a bound on its size, and its connection closed.
+TEST(ServerDirectory, AnEndlessPageIsGivenUp) {
+    const std::string values(16'384, ',');
+    tarragonspar::testing::endless_server endless(
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"instances\":[", values);
+    boost::asio::io_context context;
+    const tarragonspar::platform::platform_dialect dialect;
+    directory_options options;
+    options.list = {.address = "127.0.0.1", .port = endless.port()};
+    bool listed = false;
+    const auto directory = std::make_shared<server_directory>(
+        context, options, dialect,
+        [&](const std::vector<tarragonspar::config::server>&) { listed = true; });
+    directory->set_wanted(true);
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds{30};
+    while (!endless.closed() && std::chrono::steady_clock::now() < deadline) {
+        context.run_for(std::chrono::milliseconds{20});
+    }
+    EXPECT_TRUE(endless.closed());
+    EXPECT_FALSE(listed);
+    directory->stop();
+    context.run_for(std::chrono::seconds{2});
+}
