--- a/tests/unit-deployment_endless_answers.cpp
+++ b/tests/unit-deployment_endless_answers.cpp
@@ -9,8 +9,8 @@
 
 #include "deployment_parts.hpp"
 
-// Servers that send bytes without end to many requests at once. An instance kept all of them and ran
-// out of memory, which ended the requests of its other callers.
+// Servers that send bytes without end to many requests at once. An instance kept all of them and
+// ran out of memory, which ended the requests of its other callers.
 
 namespace {
 
@@ -59,8 +59,8 @@
 };
 
 /// Sends a head, many bytes at once, and then a byte now and then until the caller closes.
-void send_without_end(asio::ip::tcp::socket& socket, const std::string& id,
-                      const std::string& head, progress& reached) {
+void send_without_end(asio::ip::tcp::socket& socket, const std::string& id, const std::string& head,
+                      progress& reached) {
     ++reached.opened;
     boost::system::error_code error;
     asio::write(socket, asio::buffer(head), error);
@@ -81,16 +81,15 @@
 /// Callers that read what they get and keep none of it.
 class reading_callers {
 public:
-    reading_callers(const asio::ip::tcp::endpoint& to, const std::string& path,
-                    progress& reached)
+    reading_callers(const asio::ip::tcp::endpoint& to, const std::string& path, progress& reached)
         : reached_(reached) {
         for (std::size_t i = 0; i < caller_count; ++i) {
             auto& socket = sockets_.emplace_back(std::make_unique<asio::ip::tcp::socket>(context_));
             socket->connect(to);
-            asio::write(*socket,
-                        asio::buffer("GET " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " +
-                                     std::to_string(i) +
-                                     "\r\nDeadline-Ms: 30000\r\nKey: k\r\n\r\n"));
+            asio::write(
+                *socket,
+                asio::buffer("GET " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " +
+                             std::to_string(i) + "\r\nDeadline-Ms: 30000\r\nKey: k\r\n\r\n"));
             read(*socket, std::to_string(i));
         }
         thread_ = std::thread([this] { context_.run(); });
