A request that crashes servers by itself is quarantined like a prompt part

Cause: the evidence about crashes left out the last part of a prompt, which stands for the request or its session; a repeat counted as a new request. Seen with a new field of server_lost, own_part: all eight losses without an event have the same last part, no other request has it. Ruled out: the shared part (it is in complete answers in between), victims that add up (the last parts would differ).

Change: the last part is evidence like the others; a request without a prompt is recognised by method, target and body. Repeats of one request are separate crashes of its own part however fast they are. More completed parts are kept, since each request has its own. The log lines tell the number of crashes.

--- a/include/tarragonspar/dispatch/crash_suspects.hpp
+++ b/include/tarragonspar/dispatch/crash_suspects.hpp
@@ -14,6 +14,9 @@
 struct server_crash {
     server_id server;
     time_point at{};
+    /// The same request was granted again after its crash before this one was known, so the two are
+    /// separate.
+    bool follows{false};
     friend bool operator==(const server_crash&, const server_crash&) = default;
 };
 
@@ -59,6 +62,9 @@
 
 /// @brief Finds prompt parts that crash servers ("queries of death") and keeps them from servers.
 ///
+/// The last part of a prompt stands for the request as a whole, so that a request that crashes
+/// servers by itself is found as well when it is repeated.
+///
 /// A request that loses its server makes its parts suspects; one whose answer is complete clears
 /// them. Requests with a suspect run one at a time. After several crashes a suspect is
 /// quarantined; when the quarantine ends, single requests are tried again, and the next crash
@@ -68,7 +74,7 @@
 class crash_suspects {
 public:
     /// @brief Records that a server was lost while it ran a request.
-    /// @param parts    the prompt's shared parts, without the request's own last one
+    /// @param parts    see `work_item::prompt_parts`
     /// @param started  when the request was granted; requests that were granted before a loss was
     /// noticed belong to that loss
     void record_crash(server_id server, const std::vector<std::uint64_t>& parts, time_point started,
@@ -103,6 +109,8 @@
     [[nodiscard]] bool is_cleared(std::uint64_t part, time_point now) const;
     [[nodiscard]] suspected_part& find_or_add(std::uint64_t part,
                                               const std::vector<std::uint64_t>& others);
+    /// @brief Reports a part that has just become a suspect.
+    void report_new(const suspected_part& suspect, bool is_new);
     void update_quarantine(suspected_part& target, time_point now);
     void add_cleared(std::uint64_t part, time_point now);
     void forget_old(time_point now);
--- a/include/tarragonspar/types/work.hpp
+++ b/include/tarragonspar/types/work.hpp
@@ -21,8 +21,9 @@
     token_count prompt;             ///< length of the prompt; 0 for plain services
     token_count max_output;         ///< the caller's own limit on the answer's length
     std::vector<block_hash> blocks; ///< chain hashes of the prompt's complete blocks
-    /// Keys of the prompt's parts that other requests may share, without the last one.
-    std::vector<std::uint64_t> shared_parts;
+    /// Keys of the prompt's parts, the last one being the request's own or its session's; without a
+    /// prompt, one key of the request as a whole. The same request sent again has the same keys.
+    std::vector<std::uint64_t> prompt_parts;
     bool idempotent{true};          ///< whether the profile allows a second run
     std::uint8_t transfers{};       ///< number of transfers between owners
     std::vector<server_id> avoid;   ///< servers that have failed this request already
--- a/src/dispatch/crash_suspects.cpp
+++ b/src/dispatch/crash_suspects.cpp
@@ -29,9 +29,9 @@
 /// Time for which a complete answer speaks for its parts. Servers may be changed meanwhile.
 constexpr duration clearance_lifetime = std::chrono::minutes{10};
 /// Bounds on what is kept: a report of all suspects takes a few kilobytes; completed parts cover
-/// minutes of traffic of one instance.
+/// minutes of traffic of a leader, as each request completes a part of its own.
 constexpr std::size_t max_suspects = 32;
-constexpr std::size_t max_completed = 8192;
+constexpr std::size_t max_completed = 32'768;
 constexpr std::size_t max_cleared = 64;
 constexpr std::size_t max_companions = 8;
 constexpr std::size_t max_changes = 64;
@@ -40,7 +40,7 @@
     std::size_t count = 0;
     time_point last{};
     for (const auto& crash : crashes) {
-        if (count == 0 || crash.at - last >= separate_crashes) {
+        if (count == 0 || crash.follows || crash.at - last >= separate_crashes) {
             ++count;
             last = crash.at;
         }
@@ -103,7 +103,6 @@
         std::copy_if(others.begin(), others.end(), std::back_inserter(suspect.companions),
                      [&](std::uint64_t other) { return other != part; });
         suspect.companions.resize(std::min(suspect.companions.size(), max_companions));
-        changes_.push_back({.what = suspicion_change::kind::suspected, .part = part});
     } else {
         std::erase_if(suspect.companions,
                       [&](std::uint64_t other) { return !contains(others, other); });
@@ -111,6 +110,14 @@
     return suspect;
 }
 
+void crash_suspects::report_new(const suspected_part& suspect, bool is_new) {
+    if (is_new) {
+        changes_.push_back({.what = suspicion_change::kind::suspected,
+                            .part = suspect.part,
+                            .crashes = count_separate(suspect.crashes)});
+    }
+}
+
 void crash_suspects::update_quarantine(suspected_part& target, time_point now) {
     const auto last = last_crash(target);
     const auto crashes = count_separate(target.crashes);
@@ -139,8 +146,14 @@
     std::copy_if(parts.begin(), parts.end(), std::back_inserter(unproven),
                  [&](std::uint64_t part) { return !is_cleared(part, now); });
     for (const auto part : unproven) {
+        const auto is_new = !suspects_.contains(part);
         auto& suspect = find_or_add(part, unproven);
-        add_crash(suspect.crashes, {.server = server, .at = now}, started);
+        // Repeats of one request are separate crashes of it, however fast they are; of the parts
+        // that it shares with others they tell nothing new.
+        const auto follows = part == parts.back() && !suspect.crashes.empty() &&
+                             started >= suspect.crashes.back().at;
+        add_crash(suspect.crashes, {.server = server, .at = now, .follows = follows}, started);
+        report_new(suspect, is_new);
         update_quarantine(suspect, now);
     }
     evict_weakest();
@@ -155,11 +168,15 @@
 
 bool crash_suspects::clear(std::uint64_t part, time_point now) {
     completed_.insert_or_assign(part, now);
-    if (suspects_.erase(part) == 0) {
+    const auto found = suspects_.find(part);
+    if (found == suspects_.end()) {
         return false;
     }
+    changes_.push_back({.what = suspicion_change::kind::cleared,
+                        .part = part,
+                        .crashes = count_separate(found->second.crashes)});
+    suspects_.erase(found);
     add_cleared(part, now);
-    changes_.push_back({.what = suspicion_change::kind::cleared, .part = part});
     for (auto& [other, suspect] : suspects_) {
         std::erase(suspect.companions, part);
     }
@@ -230,12 +247,14 @@
             add_cleared(told.part, now); // the sender does not know it
             continue;
         }
+        const auto was_unknown = !suspects_.contains(told.part);
         auto& suspect = find_or_add(told.part, told.companions);
         std::erase_if(suspect.companions,
                       [&](std::uint64_t other) { return is_cleared(other, now); });
         for (const auto& crash : told.crashes) {
             add_crash(suspect.crashes, crash, crash.at - same_crash);
         }
+        report_new(suspect, was_unknown);
         const auto is_longer = told.quarantined_until > suspect.quarantined_until;
         const auto is_new = told.quarantines > suspect.quarantines;
         suspect.quarantines = std::max(suspect.quarantines, told.quarantines);
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -292,9 +292,9 @@
         target.lengths.observe(item.work.profile, item.work.workspace, input.generated);
     }
     if (input.complete && input.generated.value > 0) {
-        target.suspects.record_completion(item.work.shared_parts, now);
+        target.suspects.record_completion(item.work.prompt_parts, now);
     } else if (input.server_lost) {
-        target.suspects.record_crash(item.server, item.work.shared_parts, item.started, now);
+        target.suspects.record_crash(item.server, item.work.prompt_parts, item.started, now);
         detail::refuse_quarantined(target, now, effects);
     }
     detail::dispatch_ready(target, now, effects,
@@ -363,7 +363,7 @@
 
 std::optional<prompt_judgement> find_quarantine(const scheduler& source, const work_item& work,
                                                 time_point now) {
-    auto judgement = source.suspects.judge(work.shared_parts, now);
+    auto judgement = source.suspects.judge(work.prompt_parts, now);
     if (judgement.verdict == prompt_verdict::quarantined) {
         return judgement;
     }
--- a/src/dispatch/server_events.cpp
+++ b/src/dispatch/server_events.cpp
@@ -58,8 +58,8 @@
 
 /// Whether two requests share a prompt part.
 bool share_part(const work_item& one, std::uint64_t part) {
-    return std::find(one.shared_parts.begin(), one.shared_parts.end(), part) !=
-           one.shared_parts.end();
+    return std::find(one.prompt_parts.begin(), one.prompt_parts.end(), part) !=
+           one.prompt_parts.end();
 }
 
 } // namespace
@@ -68,7 +68,7 @@
     if (source.suspects.empty()) {
         return false;
     }
-    const auto judgement = source.suspects.judge(work.shared_parts, now);
+    const auto judgement = source.suspects.judge(work.prompt_parts, now);
     return judgement.verdict == prompt_verdict::on_trial &&
            std::any_of(source.running.begin(), source.running.end(), [&](const auto& item) {
                return share_part(item.second.work, judgement.part);
@@ -79,7 +79,7 @@
     if (!must_wait_for_trial(source, work, now)) {
         return false;
     }
-    const auto part = source.suspects.judge(work.shared_parts, now).part;
+    const auto part = source.suspects.judge(work.prompt_parts, now).part;
     const auto waiting = std::count_if(
         source.queued_model.begin(), source.queued_model.end(), [&](const auto& item) {
             return share_part(source.pools.at(item.second).queue.find(item.first)->work, part);
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -50,7 +50,10 @@
                          .add("address", request.current_grant->address)
                          .add("events", request.events)
                          .add("running_ms", to_milliseconds(now() - request.granted_at))
-                         .add("parts", shared_parts_text(request.caller)));
+                         .add("parts", shared_parts_text(request.caller))
+                         .add("own_part", request.caller.parts.empty()
+                                              ? "none"
+                                              : to_hex(request.caller.parts.back().key)));
 }
 
 } // namespace
--- a/src/gateway/relay_admission.cpp
+++ b/src/gateway/relay_admission.cpp
@@ -18,8 +18,8 @@
 constexpr std::size_t max_reported_blocks = 32;
 
 /// Largest number of a prompt's parts that are checked for whether servers crash under them;
-/// prompts have a few.
-constexpr std::size_t max_shared_parts = 32;
+/// prompts have a few. Of a longer prompt the first ones and the last one are.
+constexpr std::size_t max_checked_parts = 32;
 
 /// Delay after which callers may return that an unconfirmed catalogue does not allow: about as long
 /// as the control group takes to elect a leader.
@@ -42,12 +42,19 @@
     return blocks;
 }
 
-/// Returns the keys of the parts that other requests may share: all but the last one.
-std::vector<std::uint64_t> shared_parts_of(const std::vector<prompt_part>& parts) {
+/// Returns the keys by which a request that crashes servers is recognised when it, or a part of
+/// it, is sent again; see `work_item::prompt_parts`.
+std::vector<std::uint64_t> recognisable_parts(const relayed_request& request) {
+    const auto& parts = request.caller.parts;
+    if (parts.empty()) {
+        return {
+            hash_pair(hash_name(request.method + " " + request.target), hash_name(request.body))};
+    }
     std::vector<std::uint64_t> keys;
-    for (std::size_t i = 0; i + 1 < parts.size() && i < max_shared_parts; ++i) {
+    for (std::size_t i = 0; i + 1 < parts.size() && i + 1 < max_checked_parts; ++i) {
         keys.push_back(parts[i].key);
     }
+    keys.push_back(parts.back().key);
     return keys;
 }
 
@@ -130,7 +137,7 @@
     work.max_output = request.caller.max_output;
     work.expected_output = request.caller.expected_output;
     work.blocks = blocks_of(request.caller.parts);
-    work.shared_parts = shared_parts_of(request.caller.parts);
+    work.prompt_parts = recognisable_parts(request);
     work.idempotent = config::is_idempotent(*request.route);
     work.origin_domain = {hash_name(settings_.failure_domain)};
     if (const auto* service = request.catalogue->find_service(request.service)) {
--- a/src/gateway/reports.cpp
+++ b/src/gateway/reports.cpp
@@ -71,7 +71,8 @@
 json suspect_to_json(const dispatch::suspected_part& value, time_point now) {
     auto crashes = json::array();
     for (const auto& crash : value.crashes) {
-        crashes.push_back(json::array({crash.server.value, (now - crash.at).count()}));
+        crashes.push_back(
+            json::array({crash.server.value, (now - crash.at).count(), crash.follows}));
     }
     return json::array({value.part, std::move(crashes), value.companions, value.quarantines,
                         (now - value.quarantined_until).count()});
@@ -81,8 +82,10 @@
     dispatch::suspected_part value;
     value.part = in.at(0).get<std::uint64_t>();
     for (const auto& crash : in.at(1)) {
-        value.crashes.push_back(
-            {.server = {crash.at(0).get<std::uint32_t>()}, .at = read_age(crash.at(1), now)});
+        value.crashes.push_back({.server = {crash.at(0).get<std::uint32_t>()},
+                                 .at = read_age(crash.at(1), now),
+                                 // Earlier versions don't send it.
+                                 .follows = crash.size() > 2 && crash.at(2).get<bool>()});
     }
     value.companions = in.at(2).get<std::vector<std::uint64_t>>();
     value.quarantines = in.at(3).get<std::uint32_t>();
@@ -109,7 +112,7 @@
     for (const auto& item : value.open.running) {
         running.push_back(json::array({item.work.id.sequence, item.server.value,
                                        item.work.urgency.value, item.work.workspace.value,
-                                       item.work.model.value, item.work.shared_parts}));
+                                       item.work.model.value, item.work.prompt_parts}));
     }
     auto used = json::array();
     for (const auto& [workspace, spans] : value.open.used) {
@@ -138,7 +141,7 @@
             running.work.model = {item.at(4).get<std::uint64_t>()};
             constexpr std::size_t parts_index = 5; // instances of an earlier version send no parts
             if (item.size() > parts_index) {
-                running.work.shared_parts = item.at(parts_index).get<std::vector<std::uint64_t>>();
+                running.work.prompt_parts = item.at(parts_index).get<std::vector<std::uint64_t>>();
             }
             value.open.running.push_back(std::move(running));
         }
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -126,9 +126,9 @@
     for (unsigned i = 0; i < blocks.size(); ++i) {
         blocks.set(i, value.blocks[i].value);
     }
-    auto parts = out.initSharedParts(static_cast<unsigned>(value.shared_parts.size()));
+    auto parts = out.initSharedParts(static_cast<unsigned>(value.prompt_parts.size()));
     for (unsigned i = 0; i < parts.size(); ++i) {
-        parts.set(i, value.shared_parts[i]);
+        parts.set(i, value.prompt_parts[i]);
     }
 }
 
@@ -159,7 +159,7 @@
         value.blocks.push_back({block});
     }
     for (const auto part : in.getSharedParts()) {
-        value.shared_parts.push_back(part);
+        value.prompt_parts.push_back(part);
     }
     return value;
 }
--- a/tests/unit-crash_suspects.cpp
+++ b/tests/unit-crash_suspects.cpp
@@ -39,7 +39,7 @@
     void ask_with(std::uint64_t sequence, std::vector<std::uint64_t> parts,
                   previous_grant previous = previous_grant::none) {
         auto work = make(sequence, 0);
-        work.shared_parts = std::move(parts);
+        work.prompt_parts = std::move(parts);
         ask(work, previous);
     }
     void lose(std::uint64_t sequence) {
--- a/tests/unit-deployment_deadly_part.cpp
+++ b/tests/unit-deployment_deadly_part.cpp
@@ -57,6 +57,28 @@
 
 } // namespace
 
+// No part that the request shares with others is at fault, and its caller sends it again and again.
+TEST(Deployment, ARequestThatCrashesServersByItselfEndsThreeOfThem) {
+    constexpr int servers_ended = 3;
+    platform_deployment d(1, 2);
+    const crashing_servers servers(d);
+    d.start_with(make_manifest(1));
+    ASSERT_TRUE(wait_until([&] { return d.ready(1).status == 200; }));
+    ASSERT_EQ(send_with_parts(d, "a1:60", 1).status, 200U) << "the shared part is sound";
+    constexpr int rounds = 8;
+    for (int round = 0; round < rounds; ++round) {
+        const auto number = std::to_string(round);
+        static_cast<void>(d.call("POST", "/resumable/x", "b",
+                                 {{"Attempt-Id", "b" + number},
+                                  {"Token-Usage", "500,20"},
+                                  {"Prompt-Prefix", "a1:60,dead:400"}},
+                                 static_cast<std::size_t>(round % 2)));
+        EXPECT_EQ(send_with_parts(d, "a1:60", 2 + round).status, 200U);
+        std::this_thread::sleep_for(crash_distance);
+    }
+    EXPECT_LE(servers.crashes(), servers_ended);
+}
+
 TEST(Deployment, RequestsThatCrashServersAreNotTriedOnOneAfterAnother) {
     platform_deployment d;
     const crashing_servers servers(d);
