Control instances log what queries and documents cost them

Whether documents are late because of the leader's processor, repeated copies or time limits could not be told from logs. control_load (queries, longest wait, documents, bytes; once a second), report_failed at entry instances, and two series. No logic is changed.

--- a/include/tarragonspar/gateway/control_instance.hpp
+++ b/include/tarragonspar/gateway/control_instance.hpp
@@ -12,6 +12,7 @@
 #include "tarragonspar/gateway/dialect.hpp"
 #include "tarragonspar/gateway/grant_service.hpp"
 #include "tarragonspar/gateway/query_handler.hpp"
+#include "tarragonspar/gateway/query_load.hpp"
 #include "tarragonspar/gateway/reports.hpp"
 #include "tarragonspar/gateway/server_directory.hpp"
 #include "tarragonspar/http/server.hpp"
@@ -44,6 +45,10 @@
     void on_query(instance_id from, wire::topic about, std::string payload,
                   std::function<void(wire::answer)> reply) override;
 
+    /// @brief Handles a query on the context's thread and records how long it waited.
+    template <class Action>
+    void post_query(Action action);
+    void log_load();
     void on_document(config::document newest);
     void on_group(runtime::control_service::group_view group);
     void on_servers(std::vector<config::server> servers);
@@ -97,6 +102,7 @@
     server_list list_;
     std::mt19937_64 random_;
     bool shutting_down_{false};
+    query_load load_;
 };
 
 } // namespace tarragonspar::gateway
--- a/include/tarragonspar/gateway/control_link.hpp
+++ b/include/tarragonspar/gateway/control_link.hpp
@@ -150,6 +150,7 @@
     std::optional<instance_id> target_;
     std::optional<instance_id> scheduler_;
     time_point scheduler_last_seen_{};
+    time_point failure_logged_{};
     std::uint32_t entry_instances_{1};
     std::vector<instance_id> peers_;
     std::mt19937_64 random_;
--- a/include/tarragonspar/telemetry/metrics.hpp
+++ b/include/tarragonspar/telemetry/metrics.hpp
@@ -83,6 +83,12 @@
     /// @brief Records a write of the control replica to its disk, with its sync.
     void record_disk_write(duration taken);
 
+    /// @brief Records how long a query of another instance waited for this control instance.
+    void record_query_wait(duration waited);
+
+    /// @brief Counts bytes of documents that were sent to another instance.
+    void count_document_bytes(std::size_t bytes);
+
     /// @brief Returns all series in the Prometheus text format.
     [[nodiscard]] std::string expose() const;
 
@@ -113,6 +119,8 @@
     prometheus::Gauge* control_absent_members_;
     prometheus::Family<prometheus::Histogram>* publications_;
     prometheus::Family<prometheus::Histogram>* disk_writes_;
+    prometheus::Family<prometheus::Histogram>* query_waits_;
+    prometheus::Counter* document_bytes_;
     std::size_t max_workspaces_;
     std::mutex mutex_;
     std::map<std::string, bool> labelled_workspaces_;
--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -251,6 +251,9 @@
                 peers_per_update, random_);
     if (newest_.number > report->document) {
         update.document = newest_;
+        ++load_.documents;
+        load_.document_bytes += newest_.content.size();
+        metrics_.count_document_bytes(newest_.content.size());
     }
     if (leads_) {
         update.newest = config::newest_document{.number = newest_.number};
@@ -290,16 +293,41 @@
                          .add("told_by", settings::instance_address(notice.dispatcher)));
 }
 
+void control_instance::log_load() {
+    const auto finished = take_finished_second(load_, now());
+    if (!finished) {
+        return;
+    }
+    telemetry::write(
+        telemetry::log_line("control_load")
+            .add("queries", static_cast<std::int64_t>(finished->queries))
+            .add("longest_wait_ms", to_milliseconds(finished->longest_wait))
+            .add("documents", static_cast<std::int64_t>(finished->documents))
+            .add("document_bytes", static_cast<std::int64_t>(finished->document_bytes)));
+}
+
+template <class Action>
+void control_instance::post_query(Action action) {
+    asio::post(context_, [this, received = now(), action = std::move(action)] {
+        const auto waited = now() - received;
+        log_load();
+        ++load_.queries;
+        load_.longest_wait = std::max(load_.longest_wait, waited);
+        metrics_.record_query_wait(waited);
+        action();
+    });
+}
+
 void control_instance::on_query(instance_id, wire::topic about, std::string payload,
                                 std::function<void(wire::answer)> reply) {
     switch (about) {
     case wire::topic::entry_report:
-        asio::post(context_, [this, payload = std::move(payload), reply = std::move(reply)] {
+        post_query([this, payload = std::move(payload), reply = std::move(reply)] {
             answer_report(payload, reply);
         });
         return;
     case wire::topic::grant:
-        asio::post(context_, [this, payload = std::move(payload), reply = std::move(reply)] {
+        post_query([this, payload = std::move(payload), reply = std::move(reply)] {
             answer_grant(payload, reply);
         });
         return;
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -45,6 +45,9 @@
 constexpr std::size_t max_peers = 12;
 /// Number of peers named in an answer to another entry instance.
 constexpr std::size_t peers_per_update = 3;
+/// Interval between two log lines about reports without an answer: without a leader ten are sent a
+/// second.
+constexpr duration failure_log_interval = std::chrono::seconds{1};
 /// Time since the last contact with a leader up to which it is named to other entry instances.
 constexpr duration max_leader_age = std::chrono::milliseconds{450};
 
@@ -275,6 +278,13 @@
 void control_link::on_control_update(instance_id from, time_point requested,
                                      const std::optional<control_update>& update) {
     if (!update) {
+        if (now() - failure_logged_ >= failure_log_interval) {
+            failure_logged_ = now();
+            telemetry::write(
+                telemetry::log_line("report_failed")
+                    .add("instance", settings::instance_address(from))
+                    .add("after_ms", to_milliseconds(now_with_suspension() - requested)));
+        }
         if (target_ == from && scheduler_ != from) {
             choose_target(std::nullopt);
         }
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -79,6 +79,11 @@
                                      "Time from an operator's document to its answer")),
       disk_writes_(histogram_family(*registry_, "tarragonspar_control_disk_write_seconds",
                                     "Time of a control replica's write with its sync")),
+      query_waits_(histogram_family(*registry_, "tarragonspar_control_query_wait_seconds",
+                                    "Time from the arrival of a query to its handling")),
+      document_bytes_(&counter_family(*registry_, "tarragonspar_document_bytes_sent_total",
+                                      "Bytes of documents sent to other instances")
+                           ->Add({})),
       max_workspaces_(max_workspaces) {}
 
 std::string metrics::workspace_label(const std::string& workspace) {
@@ -175,6 +180,14 @@
     disk_writes_->Add({}, wait_buckets).Observe(to_seconds(taken));
 }
 
+void metrics::record_query_wait(duration waited) {
+    query_waits_->Add({}, wait_buckets).Observe(to_seconds(waited));
+}
+
+void metrics::count_document_bytes(std::size_t bytes) {
+    document_bytes_->Increment(static_cast<double>(bytes));
+}
+
 std::string metrics::expose() const {
     return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
