Instances fetch large documents in parts instead of with each report

Cause: each report of an entry instance, sent every 300 ms whether or not the last one was answered, was answered with the whole newest document. Copies piled up on links of 10 Mbit/s, answers exceeded the limit of a call (1 s) and were dropped with their connection, grants included, and every retry began at the first byte, at the leader and at the other control instances. Ruled out by the log lines added before: queries that wait for the leader's processor.

Change: an answer only names the newest document. The instance that lacks it asks for one part of 32 KB at a time, of the compressed document, and keeps what it has when a call fails or another instance goes on. A document of which parts were fetched lately stays available for two seconds, so that documents in quick succession can't keep an instance from all of them. Instances of the version before still get documents with their reports.

--- a/include/tarragonspar/gateway/control_instance.hpp
+++ b/include/tarragonspar/gateway/control_instance.hpp
@@ -53,6 +53,9 @@
     void on_group(runtime::control_service::group_view group);
     void on_servers(std::vector<config::server> servers);
     void answer_report(const std::string& payload, const std::function<void(wire::answer)>& reply);
+    void answer_document_part(const std::string& payload,
+                              const std::function<void(wire::answer)>& reply);
+    void count_document(std::size_t bytes);
     void answer_grant(const std::string& payload, std::function<void(wire::answer)> reply);
     void handle_notice(const dispatch::server_notice& notice);
     void start_scheduling_if_ready();
@@ -97,7 +100,8 @@
     /// Largest number of entry instances that was reported to this instance since it leads.
     std::uint32_t expected_dispatchers_{0};
     config::document newest_;
-    config::catalogue catalogue_; ///< content of `newest_`
+    config::document_sender document_sender_; ///< has `newest_`
+    config::catalogue catalogue_;             ///< content of `newest_`
     double quota_share_{1.0};
     server_list list_;
     std::mt19937_64 random_;
--- a/include/tarragonspar/gateway/control_link.hpp
+++ b/include/tarragonspar/gateway/control_link.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "tarragonspar/config/document_tracker.hpp"
+#include "tarragonspar/config/document_transfer.hpp"
 #include "tarragonspar/gateway/grant_service.hpp"
 #include "tarragonspar/gateway/reports.hpp"
 #include "tarragonspar/settings/instance_settings.hpp"
@@ -88,6 +89,10 @@
     [[nodiscard]] std::optional<control_update> answer_peer(instance_id from,
                                                             const std::string& report);
 
+    /// @brief Answers another entry instance that asks for a part of the document in force.
+    [[nodiscard]] std::optional<config::document_part>
+    answer_document_part(const std::string& request);
+
     /// @brief Whether the document in force was recently confirmed to be the newest, so that
     /// requests may be refused for good by it.
     [[nodiscard]] bool is_document_confirmed() const;
@@ -119,6 +124,15 @@
     void on_peer_update(instance_id peer, time_point requested, const control_update& update);
     void apply_update(instance_id from, config::document_update documents,
                       const control_update& update);
+    /// @brief Puts a received document in force if it may be, and records what is newest.
+    void handle_documents(instance_id from, const config::document_update& documents);
+    /// @brief Asks for the document that another instance holds, if it is newer.
+    void fetch_document(instance_id from, config::document_source source,
+                        config::document_number offered);
+    void ask_document_part(instance_id from, config::document_source source,
+                           const config::document_part_request& request);
+    void on_document_part(instance_id from, config::document_source source,
+                          std::optional<config::document_part> part);
     void check_document();
     void update_local_shares();
     void on_control_update(instance_id from, time_point requested,
@@ -156,6 +170,11 @@
     std::mt19937_64 random_;
     config::document_tracker documents_;
     instance_id candidate_from_; ///< sender of the unconfirmed document
+    config::document_receiver document_receiver_;
+    config::document_sender document_sender_; ///< has the document in force
+    /// The latest statement about the newest document, and when it was asked for.
+    std::optional<config::newest_document> newest_stated_;
+    time_point newest_requested_{};
     bool reported_confirmed_{false};
     server_list list_;
     std::shared_ptr<grant_service> local_scheduler_;
--- a/include/tarragonspar/gateway/reports.hpp
+++ b/include/tarragonspar/gateway/reports.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "tarragonspar/config/document_tracker.hpp"
+#include "tarragonspar/config/document_transfer.hpp"
 #include "tarragonspar/dispatch/grant_scheduler.hpp"
 
 namespace tarragonspar::gateway {
@@ -19,6 +20,9 @@
     std::uint32_t entry_instances{1}; ///< number in the deployment, as the last leader reported it
     std::string packed_suspicions;    ///< evidence about prompt parts; empty: none
     std::string packed_limits;        ///< request limits that servers named here; empty: none
+    /// Whether it asks for documents part by part. Instances of an earlier version expect them
+    /// whole in the answer.
+    bool reads_document_parts{true};
 };
 
 /// @brief The answer to an `entry_report`.
@@ -27,7 +31,9 @@
     std::optional<instance_id> leader;
     std::vector<instance_id> members;
     std::uint32_t entry_instances{};
-    std::optional<config::document> document; ///< set if newer than the reported one
+    /// Set if newer than the reported one, for instances of an earlier version.
+    std::optional<config::document> document;
+    config::document_number held_document; ///< newest one that the sender can send; 0: none
     std::uint64_t servers_fingerprint{};
     std::string packed_servers; ///< set if the fingerprint differs and the sender's list is newer
     duration servers_age{};     ///< time since the sender's list was read
@@ -65,6 +71,11 @@
 [[nodiscard]] std::string pack(const dispatch::suspicion_report& value, time_point now);
 [[nodiscard]] std::optional<dispatch::suspicion_report> unpack_suspicions(const std::string& bytes,
                                                                           time_point now);
+[[nodiscard]] std::string pack(const config::document_part_request& value);
+[[nodiscard]] std::optional<config::document_part_request>
+unpack_document_part_request(const std::string& bytes);
+[[nodiscard]] std::string pack(const config::document_part& value);
+[[nodiscard]] std::optional<config::document_part> unpack_document_part(const std::string& bytes);
 [[nodiscard]] std::string pack(const grant_request& value, time_point now);
 [[nodiscard]] std::optional<grant_request> unpack_grant_request(const std::string& bytes,
                                                                 time_point now);
--- a/include/tarragonspar/wire/messages.hpp
+++ b/include/tarragonspar/wire/messages.hpp
@@ -32,7 +32,8 @@
     grant,          ///< a request for permission to dispatch, for the scheduler
     grant_update,   ///< progress and results of granted requests, for the scheduler
     server_notice,  ///< what a server reported about itself, for the scheduler
-    server_limit    ///< the rate of requests that a server accepts, for the scheduler
+    server_limit,   ///< the rate of requests that a server accepts, for the scheduler
+    document_part   ///< a part of the newest published document
 };
 
 /// @brief The answer to a query.
--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -147,6 +147,7 @@
     }
     const auto read = protocol_->read_catalogue(newest.content);
     newest_ = std::move(newest);
+    document_sender_.set_newest(newest_);
     catalogue_ = read.value;
     grant_service_->set_quotas(catalogue_, tolerance_of(settings_), quota_share_);
     metrics_.set_revision(newest_.number.value);
@@ -249,11 +250,10 @@
     }
     std::sample(dispatchers.begin(), dispatchers.end(), std::back_inserter(update.peers),
                 peers_per_update, random_);
-    if (newest_.number > report->document) {
+    update.held_document = newest_.number;
+    if (!report->reads_document_parts && newest_.number > report->document) {
         update.document = newest_;
-        ++load_.documents;
-        load_.document_bytes += newest_.content.size();
-        metrics_.count_document_bytes(newest_.content.size());
+        count_document(newest_.content.size());
     }
     if (leads_) {
         update.newest = config::newest_document{.number = newest_.number};
@@ -264,6 +264,25 @@
     reply({.known = true, .payload = pack(update)});
 }
 
+void control_instance::answer_document_part(const std::string& payload,
+                                            const std::function<void(wire::answer)>& reply) {
+    const auto request = unpack_document_part_request(payload);
+    const auto part =
+        request ? document_sender_.part(*request, now()) : std::optional<config::document_part>{};
+    if (!part) {
+        reply({});
+        return;
+    }
+    count_document(part->bytes.size());
+    reply({.known = true, .payload = pack(*part)});
+}
+
+void control_instance::count_document(std::size_t bytes) {
+    ++load_.documents;
+    load_.document_bytes += bytes;
+    metrics_.count_document_bytes(bytes);
+}
+
 void control_instance::answer_grant(const std::string& payload,
                                     std::function<void(wire::answer)> reply) {
     const auto request = unpack_grant_request(payload, now());
@@ -331,6 +350,11 @@
             answer_grant(payload, reply);
         });
         return;
+    case wire::topic::document_part:
+        post_query([this, payload = std::move(payload), reply = std::move(reply)] {
+            answer_document_part(payload, reply);
+        });
+        return;
     case wire::topic::grant_update:
         asio::post(context_, [this, payload = std::move(payload)] {
             if (const auto update = unpack_grant_update(payload)) {
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -162,6 +162,64 @@
     callbacks_.on_confirmation(confirmed);
 }
 
+void control_link::handle_documents(instance_id from, const config::document_update& documents) {
+    const auto next = config::receive(documents_, documents, now_with_suspension());
+    if (next) {
+        // Of the control instances, only a leader states what is newest.
+        const auto leads = documents.source == config::document_source::control_instance &&
+                           documents.newest.has_value();
+        callbacks_.on_document(*next, {.from = from, .leads = leads});
+    } else if (documents.content && documents.content->number == documents_.candidate.number) {
+        candidate_from_ = from;
+    }
+    config::confirm(documents_, documents);
+    check_document();
+}
+
+void control_link::fetch_document(instance_id from, config::document_source source,
+                                  config::document_number offered) {
+    const auto request = document_receiver_.begin(offered, config::newest_held(documents_));
+    if (request) {
+        ask_document_part(from, source, *request);
+    }
+}
+
+void control_link::ask_document_part(instance_id from, config::document_source source,
+                                     const config::document_part_request& request) {
+    node_.ask(from, wire::topic::document_part, pack(request),
+              [self = shared_from_this(), from, source](std::optional<wire::answer> answer) {
+                  asio::post(self->context_, [self, from, source, answer = std::move(answer)] {
+                      self->on_document_part(from, source,
+                                             answer && answer->known
+                                                 ? unpack_document_part(answer->payload)
+                                                 : std::optional<config::document_part>{});
+                  });
+              });
+}
+
+void control_link::on_document_part(instance_id from, config::document_source source,
+                                    std::optional<config::document_part> part) {
+    if (const auto next = document_receiver_.receive(std::move(part))) {
+        ask_document_part(from, source, *next);
+        return;
+    }
+    const auto packed = document_receiver_.take_complete();
+    if (!packed) {
+        return; // the next report finds who holds it
+    }
+    auto content = config::unpack(*packed);
+    if (!content) {
+        telemetry::write(telemetry::log_line("document_unreadable")
+                             .add("number", static_cast<std::int64_t>(packed->number.value))
+                             .add("why", "its compressed form is damaged"));
+        return;
+    }
+    handle_documents(from, {.content = std::move(content),
+                            .newest = newest_stated_,
+                            .source = source,
+                            .requested = newest_requested_});
+}
+
 // --- other entry instances, while there is no leader ---
 
 void control_link::add_peer(instance_id peer) {
@@ -215,7 +273,8 @@
     }
     update.members = contacts_;
     update.entry_instances = entry_instances_;
-    if (documents_.in_force.number > request->document) {
+    update.held_document = documents_.in_force.number;
+    if (!request->reads_document_parts && documents_.in_force.number > request->document) {
         update.document = documents_.in_force;
     }
     update.newest = config::newest_known(documents_, now_with_suspension());
@@ -227,6 +286,12 @@
     return update;
 }
 
+std::optional<config::document_part>
+control_link::answer_document_part(const std::string& request) {
+    const auto asked = unpack_document_part_request(request);
+    return asked ? document_sender_.part(*asked, now()) : std::optional<config::document_part>{};
+}
+
 void control_link::on_peer_update(instance_id peer, time_point requested,
                                   const control_update& update) {
     apply_update(peer,
@@ -251,17 +316,12 @@
     for (const auto peer : update.peers) {
         add_peer(peer);
     }
-    const auto next = config::receive(documents_, documents, now_with_suspension());
-    if (next) {
-        // Of the control instances, only a leader states what is newest.
-        const auto leads = documents.source == config::document_source::control_instance &&
-                           documents.newest.has_value();
-        callbacks_.on_document(*next, {.from = from, .leads = leads});
-    } else if (documents.content && documents.content->number == documents_.candidate.number) {
-        candidate_from_ = from;
+    if (documents.newest) {
+        newest_stated_ = documents.newest;
+        newest_requested_ = documents.requested;
     }
-    config::confirm(documents_, documents);
-    check_document();
+    handle_documents(from, documents);
+    fetch_document(from, documents.source, update.held_document);
     if (const auto told = unpack_suspicions(update.packed_suspicions, now())) {
         local_scheduler_->record(*told);
     }
@@ -513,6 +573,7 @@
 void control_link::set_document(const config::document& in_force,
                                 const config::catalogue& content) {
     config::set_in_force(documents_, in_force);
+    document_sender_.set_newest(in_force);
     // An equal share, which the leader reserves for instances that it has no contact with.
     local_scheduler_->set_quotas(content, {}, 1.0 / std::max(1U, entry_instances_));
 }
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -259,6 +259,14 @@
 
 void entry_instance::on_query(instance_id from, wire::topic about, std::string payload,
                               std::function<void(wire::answer)> reply) {
+    if (about == wire::topic::document_part) {
+        asio::post(context_, [this, payload = std::move(payload), reply = std::move(reply)] {
+            const auto part = link_->answer_document_part(payload);
+            metrics_.count_document_bytes(part ? part->bytes.size() : 0);
+            reply(part ? wire::answer{.known = true, .payload = pack(*part)} : wire::answer{});
+        });
+        return;
+    }
     if (about != wire::topic::entry_report) {
         reply({});
         return;
--- a/src/gateway/reports.cpp
+++ b/src/gateway/reports.cpp
@@ -47,6 +47,9 @@
 constexpr std::size_t suspicions_index = 10;
 /// The same for the request limits of servers.
 constexpr std::size_t limits_index = 11;
+/// The same for whether a report's sender asks for parts of documents, and for the document that an
+/// update's sender holds.
+constexpr std::size_t document_parts_index = 12;
 
 dispatch::server_fate read_fate(const json& in) {
     const auto value = in.get<std::uint8_t>();
@@ -78,11 +81,12 @@
     for (const auto& [workspace, spans] : value.open.used) {
         used.push_back(json::array({workspace.value, spans}));
     }
-    return cbor::encode(json::array(
-        {value.open.dispatcher.value, value.open.started_as.value, std::move(running),
-         value.open.waiting, value.document.value, value.servers_fingerprint, std::move(used),
-         value.servers_age.count(), value.entry_instances, value.open.uptime.count(),
-         cbor::binary(value.packed_suspicions), cbor::binary(value.packed_limits)}));
+    return cbor::encode(
+        json::array({value.open.dispatcher.value, value.open.started_as.value, std::move(running),
+                     value.open.waiting, value.document.value, value.servers_fingerprint,
+                     std::move(used), value.servers_age.count(), value.entry_instances,
+                     value.open.uptime.count(), cbor::binary(value.packed_suspicions),
+                     cbor::binary(value.packed_limits), value.reads_document_parts}));
 }
 
 std::optional<entry_report> unpack_report(const std::string& bytes, time_point) {
@@ -121,6 +125,8 @@
         if (in.size() > limits_index) {
             value.packed_limits = cbor::bytes_of(in.at(limits_index));
         }
+        value.reads_document_parts =
+            in.size() > document_parts_index && in.at(document_parts_index).get<bool>();
         return value;
     });
 }
@@ -133,7 +139,8 @@
          ids(value.peers),
          value.newest ? json::array({value.newest->number.value, value.newest->age.count()})
                       : json(),
-         cbor::binary(value.packed_suspicions), cbor::binary(value.packed_limits)}));
+         cbor::binary(value.packed_suspicions), cbor::binary(value.packed_limits),
+         value.held_document.value}));
 }
 
 std::optional<control_update> unpack_control_update(const std::string& bytes,
@@ -177,6 +184,40 @@
         if (in.size() > limits_index) {
             value.packed_limits = cbor::bytes_of(in.at(limits_index));
         }
+        if (in.size() > document_parts_index) {
+            value.held_document = {in.at(document_parts_index).get<std::uint64_t>()};
+        }
+        return value;
+    });
+}
+
+std::string pack(const config::document_part_request& value) {
+    return cbor::encode(json::array({value.number.value, value.checksum, value.offset}));
+}
+
+std::optional<config::document_part_request>
+unpack_document_part_request(const std::string& bytes) {
+    return read_cbor(bytes, [](const json& in) {
+        return config::document_part_request{.number = {in.at(0).get<std::uint64_t>()},
+                                             .checksum = in.at(1).get<std::uint64_t>(),
+                                             .offset = in.at(2).get<std::uint64_t>()};
+    });
+}
+
+std::string pack(const config::document_part& value) {
+    return cbor::encode(json::array({value.number.value, value.content_bytes, value.checksum,
+                                     value.total, value.offset, cbor::binary(value.bytes)}));
+}
+
+std::optional<config::document_part> unpack_document_part(const std::string& bytes) {
+    return read_cbor(bytes, [](const json& in) {
+        config::document_part value;
+        value.number = {in.at(0).get<std::uint64_t>()};
+        value.content_bytes = in.at(1).get<std::uint64_t>();
+        value.checksum = in.at(2).get<std::uint64_t>();
+        value.total = in.at(3).get<std::uint64_t>();
+        value.offset = in.at(4).get<std::uint64_t>();
+        value.bytes = cbor::bytes_of(in.at(5));
         return value;
     });
 }
