Appends to a lagging replica are bounded in bytes

Found while looking for the cause of late documents elsewhere: a leader sent a replica that lagged up to 64 entries in one message, up to 8 MB of documents before the log is compacted, again with each heartbeat (300 ms), and a call between instances that takes longer than 1 s is dropped. A replica on a slow machine could fail to catch up. Read in the code and shown by the test only; no run of real processes showed it.

A message now holds 512 KB of entries, or one larger entry; acknowledged messages are followed by the next as before. Consensus.ABacklogOfLargeEntriesIsSentInBoundedMessages failed before: 4,000,000 bytes in a message; the suites of consensus, group changes, founding, control service and both control deployments pass.

--- a/include/tarragonspar/consensus/detail/log_view.hpp
+++ b/include/tarragonspar/consensus/detail/log_view.hpp
@@ -16,9 +16,9 @@
 /// @brief Returns the group in force given the entries up to an index.
 [[nodiscard]] group group_at(const replica& source, log_index index);
 
-/// @brief Returns at most `limit` entries, starting at an index.
-[[nodiscard]] std::vector<entry> entries_from(const replica& source, log_index index,
-                                              std::size_t limit);
+/// @brief Returns the entries for one message, starting at an index: as many as its limits allow,
+/// but at least one if there is any.
+[[nodiscard]] std::vector<entry> entries_for_message(const replica& source, log_index index);
 
 /// @brief Whether the voters that satisfy a predicate are a majority.
 template <class Predicate>
--- a/include/tarragonspar/consensus/replica.hpp
+++ b/include/tarragonspar/consensus/replica.hpp
@@ -24,6 +24,9 @@
     duration first_election_max{std::chrono::milliseconds{600}};
     duration heartbeat{std::chrono::milliseconds{300}};
     std::size_t max_entries_per_message{64};
+    /// Bytes of entries in a message, unless a single entry is larger. A message that takes longer
+    /// than a call between instances may take is dropped and sent again as a whole.
+    std::size_t max_bytes_per_message{512 * 1024};
     std::size_t snapshot_chunk_bytes{64 * 1024};
 };
 
--- a/src/consensus/log_view.cpp
+++ b/src/consensus/log_view.cpp
@@ -72,10 +72,18 @@
     return source.snapshot.members;
 }
 
-std::vector<entry> entries_from(const replica& source, log_index index, std::size_t limit) {
+std::vector<entry> entries_for_message(const replica& source, log_index index) {
+    const auto& options = source.options;
     std::vector<entry> out;
-    for (auto at = index; at <= last_index(source) && out.size() < limit; ++at.value) {
-        out.push_back(entry_at(source, at));
+    std::size_t bytes = 0;
+    for (auto at = index; at <= last_index(source) && out.size() < options.max_entries_per_message;
+         ++at.value) {
+        const auto& next = entry_at(source, at);
+        bytes += next.data.size();
+        if (!out.empty() && bytes > options.max_bytes_per_message) {
+            break;
+        }
+        out.push_back(next);
     }
     return out;
 }
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -103,8 +103,7 @@
         return;
     }
     const log_index previous{progress.next.value - 1};
-    auto entries =
-        detail::entries_from(in.self, progress.next, in.self.options.max_entries_per_message);
+    auto entries = detail::entries_for_message(in.self, progress.next);
     const auto count = entries.size();
     send_to(in, to, in.self.term,
             append_request{.previous_index = previous,
--- a/tests/unit-consensus.cpp
+++ b/tests/unit-consensus.cpp
@@ -338,6 +338,40 @@
     EXPECT_TRUE(cluster.violations.empty());
 }
 
+// A call between instances is bounded in time, and an append that is not acknowledged is sent again
+// with each heartbeat: a replica that lacked some megabytes could fail to ever receive them.
+TEST(Consensus, ABacklogOfLargeEntriesIsSentInBoundedMessages) {
+    constexpr std::size_t entry_bytes = 100'000;
+    consensus_cluster cluster(3, 9);
+    const auto leader = cluster.elect();
+    const auto other =
+        cluster.running()[0] == *leader ? cluster.running()[1] : cluster.running()[0];
+    cluster.crash(other);
+    for (int i = 0; i < 40; ++i) {
+        cluster.propose(*leader, std::string(entry_bytes, 'x'));
+    }
+    cluster.settle();
+    cluster.start(other);
+    std::size_t largest = 0;
+    for (int i = 0; i < 40; ++i) {
+        cluster.tick_all(std::chrono::milliseconds{50});
+        while (!cluster.network.empty()) {
+            const auto next = cluster.network.front();
+            if (const auto* append = std::get_if<append_request>(&next.body)) {
+                std::size_t bytes = 0;
+                for (const auto& item : append->entries) {
+                    bytes += item.data.size();
+                }
+                largest = std::max(largest, bytes);
+            }
+            cluster.deliver(0);
+        }
+    }
+    EXPECT_EQ(cluster.at(other).commit, cluster.at(*leader).commit);
+    EXPECT_LE(largest, cluster.at(*leader).options.max_bytes_per_message);
+    EXPECT_TRUE(cluster.violations.empty());
+}
+
 TEST(Consensus, AReplicaWithANewDiskJoinsAsLearnerAndIsPromoted) {
     consensus_cluster cluster(3, 5);
     const auto leader = cluster.elect();
