--- a/tests/unit-control_link.cpp
+++ b/tests/unit-control_link.cpp
@@ -120,6 +120,29 @@
     EXPECT_FALSE(receives_list(fingerprint + 1, milliseconds{0})) << "has a newer list";
 }
 
+// During an upgrade both versions run: the former expects whole documents in answers, and a
+// document in each answer to the current one overloaded links.
+TEST(ControlLink, OnlyInstancesOfTheVersionBeforeGetWholeDocuments) {
+    fixture f;
+    const config::document in_force{.number = {7}, .content = "{}"};
+    f.link->set_document(in_force, {});
+    const auto answer = [&](bool reads_parts) {
+        const gateway::entry_report report{.open = {.dispatcher = {2}},
+                                           .reads_document_parts = reads_parts};
+        return f.link->answer_peer({2}, gateway::pack(report, runtime::now()));
+    };
+    const auto former = answer(false);
+    ASSERT_TRUE(former && former->document);
+    EXPECT_EQ(*former->document, in_force);
+    const auto current = answer(true);
+    ASSERT_TRUE(current);
+    EXPECT_FALSE(current->document);
+    EXPECT_EQ(current->held_document, in_force.number);
+    const auto part = f.link->answer_document_part(gateway::pack(config::document_part_request{}));
+    ASSERT_TRUE(part);
+    EXPECT_EQ(part->number, in_force.number);
+}
+
 // Some seconds pass between the answer of a draining server and the next list, and only this
 // instance may know that the server is draining.
 TEST(ControlLink, GrantsNoDrainingServer) {
