Routes with a negative weight or an unknown service beside a split are refused

Cause: a weight was converted to unsigned without a check of its range, and the service was not read when a split was there.

--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -142,6 +142,44 @@
     }
 }
 
+// A negative weight was read as a large positive one, and the service of a route was not looked at
+// beside a split, so that such documents were acknowledged and came into force.
+TEST(Platform, RejectsRoutesWhoseServicesOrWeightsAreInvalid) {
+    const platform_dialect dialect;
+    const auto is_accepted = [&](const std::string& members) {
+        const auto read = dialect.read_catalogue(
+            R"({"version":3,"services":[{"name":"s"},{"name":"t"}],"routes":[{"name":"r",)"
+            R"("host":"a","path_prefix":"/","kind":"safe","timeout_ms":500,)" +
+            members + "}]}");
+        return read.errors.empty() && config::validate(read.value).empty();
+    };
+    const std::string split = R"("traffic_split":[{"service":"s","weight":1},{"service":"t",)";
+    EXPECT_TRUE(is_accepted(split + R"("weight":2}])"));
+    EXPECT_TRUE(is_accepted(split + R"("weight":0}])"));
+    EXPECT_FALSE(is_accepted(split + R"("weight":-1}])")) << "adds up to 0";
+    EXPECT_FALSE(is_accepted(split + R"("weight":-2}])"));
+    EXPECT_FALSE(is_accepted(split + R"("weight":4294967296}])")) << "can't be represented";
+    EXPECT_FALSE(is_accepted(split + R"("weight":"1"}])"));
+    EXPECT_TRUE(is_accepted(R"("service":"t",)" + split + R"("weight":2}])"));
+    EXPECT_FALSE(is_accepted(R"("service":"u",)" + split + R"("weight":2}])"))
+        << "names an unknown service";
+    EXPECT_TRUE(is_accepted(R"("service":"s","traffic_split":[])"));
+    EXPECT_FALSE(is_accepted(R"("service":"u","traffic_split":[])"));
+}
+
+// The service that a route names beside its split gets no requests.
+TEST(Platform, ASplitGoesBeforeTheServiceOfItsRoute) {
+    const platform_dialect dialect;
+    const auto read = dialect.read_catalogue(
+        R"({"version":3,"services":[{"name":"s"},{"name":"t"}],"routes":[{"name":"r","host":"a",)"
+        R"("path_prefix":"/","kind":"safe","timeout_ms":500,"service":"t",)"
+        R"("traffic_split":[{"service":"s","weight":3}]}]})");
+    ASSERT_TRUE(read.errors.empty());
+    for (std::uint64_t draw = 0; draw < 10; ++draw) {
+        EXPECT_EQ(config::choose_service(read.value.routes.at(0), draw), "s");
+    }
+}
+
 TEST(Platform, RejectsATruncatedManifest) {
     const std::string complete = manifest;
     for (std::size_t size = 0; size < complete.size(); ++size) {
