A document fetched from a follower is not logged as from the leader

from_leader of document_in_force was set whenever anyone had stated what is newest. It is set now only if the instance that sent the document made the statement. Found in the review of the diff; the regression test checks it for a leader.

--- a/include/tarragonspar/gateway/control_link.hpp
+++ b/include/tarragonspar/gateway/control_link.hpp
@@ -172,8 +172,9 @@
     instance_id candidate_from_; ///< sender of the unconfirmed document
     config::document_receiver document_receiver_;
     config::document_sender document_sender_; ///< has the document in force
-    /// The latest statement about the newest document, and when it was asked for.
+    /// The latest statement about the newest document, who made it and when it was asked for.
     std::optional<config::newest_document> newest_stated_;
+    instance_id newest_stated_by_;
     time_point newest_requested_{};
     bool reported_confirmed_{false};
     server_list list_;
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -167,7 +167,7 @@
     if (next) {
         // Of the control instances, only a leader states what is newest.
         const auto leads = documents.source == config::document_source::control_instance &&
-                           documents.newest.has_value();
+                           documents.newest.has_value() && newest_stated_by_ == from;
         callbacks_.on_document(*next, {.from = from, .leads = leads});
     } else if (documents.content && documents.content->number == documents_.candidate.number) {
         candidate_from_ = from;
@@ -318,6 +318,7 @@
     }
     if (documents.newest) {
         newest_stated_ = documents.newest;
+        newest_stated_by_ = from;
         newest_requested_ = documents.requested;
     }
     handle_documents(from, documents);
--- a/tests/unit-document_transfer.cpp
+++ b/tests/unit-document_transfer.cpp
@@ -103,6 +103,7 @@
     ASSERT_EQ(own.start(), "");
     boost::asio::io_context context;
     std::optional<document> received;
+    bool from_leader = false;
     gateway::control_link::callbacks handlers;
     handlers.open_requests = [] { return dispatch::dispatcher_report{}; };
     handlers.used = [] { return admission::workspace_usage{}; };
@@ -111,8 +112,9 @@
     handlers.on_servers = [] {};
     handlers.on_list_wanted = [](bool) {};
     handlers.on_document = [&](const document& newest,
-                               const gateway::control_link::document_origin&) {
+                               const gateway::control_link::document_origin& origin) {
         received = newest;
+        from_leader = origin.leads;
         context.stop();
     };
     const auto link = std::make_shared<gateway::control_link>(
@@ -125,6 +127,7 @@
     leader.stop();
     ASSERT_TRUE(received) << leader_handler.bytes_sent() << " bytes were sent";
     EXPECT_EQ(*received, held);
+    EXPECT_TRUE(from_leader);
     EXPECT_LT(leader_handler.bytes_sent(), 2 * held.content.size()) << "sent more than once";
 }
 
