A quiet server keeps its request until another place is granted

What callers saw: LOST. Under planned work only, requests of resumable streams ended with a 502, or with a connection closed in the middle of the answer, 1.2 s after their server had begun, with ten seconds left.

Cause: a stream without an event for half of what its callers wait was closed at its server first; only then was another place asked for. When that was refused as overloaded, what ran was lost. Class: giving up what is in hand before its replacement is certain.

Change: the other place is asked for while the attempt runs. The server is left when it is granted and the stream is still quiet; a refusal leaves everything as it was (quiet_server_kept). A refused repeat no longer gets back the quota units of what has run.

Test: Deployment.AQuietServerIsKeptWhileNoOtherPlaceIsGranted fails at (502, and an incomplete 200), passes here.

--- a/include/tarragonspar/admission/retry_allowance.hpp
+++ b/include/tarragonspar/admission/retry_allowance.hpp
@@ -38,4 +38,7 @@
 [[nodiscard]] bool acquire_retry(retry_allowance& target, const std::string& service,
                                  time_point now);
 
+/// @brief Returns the permission that was acquired last, if the retry was not sent.
+void return_retry(retry_allowance& target, const std::string& service);
+
 } // namespace tarragonspar::admission
--- a/include/tarragonspar/gateway/entry_instance.hpp
+++ b/include/tarragonspar/gateway/entry_instance.hpp
@@ -84,7 +84,17 @@
     /// @brief Ends the request at its deadline, or before this instance exits.
     void arm_deadline_timer(const request_ptr& request);
     void watch_progress(const request_ptr& request);
-    static void await_progress(const request_ptr& request);
+    void await_progress(const request_ptr& request);
+    void check_progress(const request_ptr& request);
+    /// @brief Asks for another server while the quiet one keeps the request: it may still answer,
+    /// and there may be no place at another one.
+    void request_failover(const request_ptr& request);
+    void on_failover_result(const request_ptr& request, const dispatch::grant_result& result);
+    /// @brief Moves a request whose server was quiet to the server that was granted instead.
+    /// @return whether the request has a new grant
+    [[nodiscard]] bool fail_over(relayed_request& request, attempt_end last);
+    static void log_quiet(const relayed_request& request, std::string_view event);
+    static void log_request_again(const relayed_request& request, std::string_view cause);
     /// @brief Records what the granted server says of itself in its answer to a request.
     void record_notices(relayed_request& request, unsigned status, const answer_metadata& metadata);
     boost::asio::awaitable<void> relay(request_ptr request, http::exchange& with);
@@ -102,6 +112,9 @@
                                                 const std::vector<http::stream_event>& events);
     boost::asio::awaitable<void> conclude(request_ptr request, http::exchange& with,
                                           attempt_end last);
+    /// @brief Whether another server may get the request, apart from the retry allowance.
+    [[nodiscard]] static bool is_repeatable(const relayed_request& request, attempt_end last);
+    /// @brief Whether another server may get the request; takes from the retry allowance.
     [[nodiscard]] bool may_retry(relayed_request& request, attempt_end last);
     void report_outcome(relayed_request& request, attempt_end end, bool server_fault);
     void record_finished(const relayed_request& request);
--- a/include/tarragonspar/gateway/relayed_request.hpp
+++ b/include/tarragonspar/gateway/relayed_request.hpp
@@ -46,9 +46,13 @@
     boost::asio::steady_timer wakeup;         ///< cancelled when one of the members below changes
     boost::asio::steady_timer deadline_timer; ///< ends the request at its deadline
     boost::asio::steady_timer stall_timer;    ///< ends an attempt that makes no progress
-    time_point last_progress{}; ///< time of the last event, or of the start of the attempt
-    duration stall_timeout{};   ///< time without progress after which the attempt ends
-    duration longest_gap{};     ///< longest time between two events of the answer
+    time_point last_progress{};   ///< time of the last event, or of the start of the attempt
+    duration stall_timeout{};     ///< time without progress after which the attempt is aborted
+    duration failover_after{};    ///< time without progress after which another server is asked for
+    bool failover_asked{false};   ///< another server was asked for since the last event
+    bool failover_pending{false}; ///< that request has no result yet
+    std::optional<dispatch::grant> failover_grant; ///< the other server
+    duration longest_gap{}; ///< longest time between two events of the answer
     std::optional<dispatch::grant_result> grant_result;
     bool caller_gone{false}; ///< the caller closed its connection
     bool timed_out{false};   ///< the deadline has passed
--- a/include/tarragonspar/types/work.hpp
+++ b/include/tarragonspar/types/work.hpp
@@ -25,6 +25,7 @@
     /// prompt, one key of the request as a whole. The same request sent again has the same keys.
     std::vector<std::uint64_t> prompt_parts;
     bool idempotent{true};          ///< whether the profile allows a second run
+    bool repeated{false};           ///< a server has got it already and may have run a part of it
     std::uint8_t transfers{};       ///< number of transfers between owners
     std::vector<server_id> avoid;   ///< servers that have failed this request already
     token_count expected_output;    ///< the caller's estimate of the answer's length; 0: none
--- a/include/tarragonspar/wire/schema/instance.capnp.h
+++ b/include/tarragonspar/wire/schema/instance.capnp.h
@@ -738,6 +738,8 @@
   inline bool hasSharedParts() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSharedParts() const;
 
+  inline bool getRepeated() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -842,6 +844,9 @@
   inline void adoptSharedParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSharedParts();
 
+  inline bool getRepeated();
+  inline void setRepeated(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3977,6 +3982,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool Work::Reader::getRepeated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline bool Work::Builder::getRepeated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Work::Builder::setRepeated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Call::Reader::getPlain() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/schema/instance.capnp
+++ b/schema/instance.capnp
@@ -35,6 +35,7 @@
   # Failure domain of the instance that dispatches the request; 0 means unknown.
   sharedParts @18 :List(UInt64);
   # Keys of the prompt's parts that other requests may share.
+  repeated @19 :Bool;
 }
 
 struct Call {
--- a/src/admission/retry_allowance.cpp
+++ b/src/admission/retry_allowance.cpp
@@ -39,4 +39,11 @@
     return true;
 }
 
+void return_retry(retry_allowance& target, const std::string& service) {
+    auto& retries = target.services[service].retries;
+    if (!retries.empty()) {
+        retries.pop_back();
+    }
+}
+
 } // namespace tarragonspar::admission
--- a/src/dispatch/grant_scheduler.cpp
+++ b/src/dispatch/grant_scheduler.cpp
@@ -209,7 +209,7 @@
     std::vector<decision> made;
     apply_event(target, arrived{.work = work}, now, made);
     for (const auto& item : made) {
-        if (item.id == work.id && std::holds_alternative<refusal>(item.result)) {
+        if (!work.repeated && item.id == work.id && std::holds_alternative<refusal>(item.result)) {
             admission::refund(target.quotas, work.workspace, work.quota_units);
         }
     }
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -19,9 +19,6 @@
 
 /// Number of unreachable servers after which a request fails.
 constexpr std::uint32_t max_unreachable = 6;
-/// Divides the time that callers wait for an event. A resumable stream that stalls for the quotient
-/// is continued at another server; the rest of the time is enough for that server's first event.
-constexpr int stall_timeout_divisor = 2;
 /// Time before the deadline from which on no further attempt is made.
 constexpr duration min_attempt_time = std::chrono::milliseconds{50};
 bool is_event_stream(const http::answer_head& head) {
@@ -69,39 +66,6 @@
     });
 }
 
-// Progress is measured in events, not bytes: a stalled server may still send bytes, and a healthy
-// one may send no event for as long as callers wait.
-void entry_instance::watch_progress(const request_ptr& request) {
-    if (request->route->kind != config::request_kind::streaming) {
-        return; // makes no visible progress before its end; its deadline bounds it
-    }
-    const auto tolerated_gap = config::caller_stall_timeout(*request->route);
-    const auto may_resume =
-        request->work.idempotent && request->attempts < request->route->max_attempts;
-    request->stall_timeout = may_resume ? tolerated_gap / stall_timeout_divisor : tolerated_gap;
-    request->last_progress = now();
-    await_progress(request);
-}
-
-void entry_instance::await_progress(const request_ptr& request) {
-    request->stall_timer.expires_after(request->last_progress + request->stall_timeout - now());
-    request->stall_timer.async_wait([request](boost::system::error_code error) {
-        if (error || !request->call) {
-            return;
-        }
-        if (now() - request->last_progress < request->stall_timeout) {
-            await_progress(request);
-            return;
-        }
-        telemetry::write(telemetry::log_line("server_quiet")
-                             .add("id", request->caller.name)
-                             .add("server", request->current_grant->server_name)
-                             .add("events", request->events)
-                             .add("quiet_ms", to_milliseconds(request->stall_timeout)));
-        request->call->close();
-    });
-}
-
 void entry_instance::record_notices(relayed_request& request, unsigned status,
                                     const answer_metadata& metadata) {
     // An answer to another request may be a late copy, and the server that got a former one's
@@ -163,9 +127,11 @@
         request->last_event = request->caller.resume_after;
     }
     while (true) {
-        const bool granted = co_await wait_for_grant(request, previous);
-        if (!granted) {
-            break;
+        if (!request->current_grant) {
+            const bool granted = co_await wait_for_grant(request, previous);
+            if (!granted) {
+                break;
+            }
         }
         last = co_await attempt(request, with);
         request->stall_timer.cancel();
@@ -173,6 +139,9 @@
             request->call->close();
             request->call.reset();
         }
+        if (fail_over(*request, last)) {
+            continue;
+        }
         const auto retry = request->retry_allowed || may_retry(*request, last);
         request->retry_allowed = false;
         if (last == attempt_end::server_lost) {
@@ -200,14 +169,10 @@
         if (last != attempt_end::not_connected) {
             request->work.avoid.push_back(request->current_grant->server);
         }
-        telemetry::write(telemetry::log_line("request_again")
-                             .add("id", request->caller.name)
-                             .add("server", request->current_grant->server_name)
-                             .add("cause", last == attempt_end::not_connected  ? "not_connected"
-                                           : last == attempt_end::not_executed ? "not_executed"
-                                           : last == attempt_end::server_lost  ? "server_lost"
-                                                                               : "failed")
-                             .add("attempts", request->attempts));
+        log_request_again(*request, last == attempt_end::not_connected  ? "not_connected"
+                                    : last == attempt_end::not_executed ? "not_executed"
+                                    : last == attempt_end::server_lost  ? "server_lost"
+                                                                        : "failed");
         request->current_grant.reset();
     }
     co_await conclude(request, with, last);
@@ -216,6 +181,7 @@
 asio::awaitable<bool> entry_instance::wait_for_grant(request_ptr request,
                                                      dispatch::previous_grant previous) {
     request->grant_result.reset();
+    request->work.repeated = request->may_have_run;
     link_->ask(request->work, previous, request->lost_server_fate,
                [request](dispatch::grant_result result) {
                    request->grant_result = std::move(result);
@@ -301,24 +267,27 @@
     co_return co_await forward_answer(request, with, std::move(*head));
 }
 
-bool entry_instance::may_retry(relayed_request& request, attempt_end last) {
-    if (request.is_over() || last == attempt_end::done || last == attempt_end::stopped) {
+bool entry_instance::is_repeatable(const relayed_request& request, attempt_end last) {
+    if (request.is_over() || request.work.deadline - now() < min_attempt_time) {
         return false;
     }
-    if (request.work.deadline - now() < min_attempt_time) {
-        return false;
-    }
-    if (last == attempt_end::not_connected) {
-        return request.unreachable < max_unreachable;
-    }
     // Only a request that the server did not run, or that may run twice, may go to another server.
     const auto safe_to_repeat = last == attempt_end::not_executed || request.work.idempotent;
     const auto resumable =
         !request.response_started || (may_be_continued(*request.route) && request.last_event);
-    if (!safe_to_repeat || !resumable || request.attempts >= request.route->max_attempts) {
+    return safe_to_repeat && resumable && request.attempts < request.route->max_attempts;
+}
+
+bool entry_instance::may_retry(relayed_request& request, attempt_end last) {
+    if (last == attempt_end::done || last == attempt_end::stopped) {
         return false;
     }
-    return admission::acquire_retry(retries_, request.service, now());
+    if (last == attempt_end::not_connected) {
+        return !request.is_over() && request.work.deadline - now() >= min_attempt_time &&
+               request.unreachable < max_unreachable;
+    }
+    return is_repeatable(request, last) &&
+           admission::acquire_retry(retries_, request.service, now());
 }
 
 asio::awaitable<void> entry_instance::conclude(request_ptr request, http::exchange& with,
--- a/src/gateway/relay_record.cpp
+++ b/src/gateway/relay_record.cpp
@@ -46,6 +46,14 @@
     log_server_lost(*request);
 }
 
+void entry_instance::log_request_again(const relayed_request& request, std::string_view cause) {
+    telemetry::write(telemetry::log_line("request_again")
+                         .add("id", request.caller.name)
+                         .add("server", request.current_grant->server_name)
+                         .add("cause", cause)
+                         .add("attempts", request.attempts));
+}
+
 void entry_instance::report_outcome(relayed_request& request, attempt_end end, bool server_fault) {
     dispatch::grant_update update{.id = request.work.id};
     update.kind = end == attempt_end::done ? dispatch::grant_update::stage::done
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -111,6 +111,7 @@
     out.setPromptTokens(value.prompt.value);
     out.setMaxOutputTokens(value.max_output.value);
     out.setIdempotent(value.idempotent);
+    out.setRepeated(value.repeated);
     out.setTransfers(value.transfers);
     auto avoid = out.initAvoid(static_cast<unsigned>(value.avoid.size()));
     for (unsigned i = 0; i < avoid.size(); ++i) {
@@ -144,6 +145,7 @@
     value.prompt = {in.getPromptTokens()};
     value.max_output = {in.getMaxOutputTokens()};
     value.idempotent = in.getIdempotent();
+    value.repeated = in.getRepeated();
     value.transfers = in.getTransfers();
     for (const auto id : in.getAvoid()) {
         value.avoid.push_back({id});
--- a/tests/unit-deployment_stream.cpp
+++ b/tests/unit-deployment_stream.cpp
@@ -1,3 +1,5 @@
+#include <future>
+
 #include <gtest/gtest.h>
 
 #include "deployment_parts.hpp"
@@ -151,6 +153,52 @@
         << "the connection to the first server is closed";
 }
 
+// LOST: the answer was given up for a place at another server that was then refused.
+TEST(Deployment, AQuietServerIsKeptWhileNoOtherPlaceIsGranted) {
+    std::atomic<bool> over{false};
+    const auto script = [&](const received_request& request, asio::ip::tcp::socket& socket) {
+        write_raw(socket, stream_head(request, "sig"));
+        if (request.start.ends_with("/busy")) {
+            for (int id = 1; !over; ++id) {
+                write_raw(socket, chunk(event_text(id)));
+                std::this_thread::sleep_for(std::chrono::milliseconds{50});
+            }
+        } else {
+            // Less than the two seconds after which callers give up, more than half of them.
+            constexpr auto silence = std::chrono::milliseconds{1'500};
+            if (request.start.ends_with("/begun")) {
+                write_raw(socket, chunk(event_text(1)));
+                std::this_thread::sleep_for(silence);
+            } else {
+                std::this_thread::sleep_for(silence);
+                write_raw(socket, chunk(event_text(1)));
+            }
+            write_raw(socket, chunk(event_text(2)));
+        }
+        write_raw(socket, "0\r\n\r\n");
+    };
+    const scripted_server one("i-1", script);
+    const scripted_server two("i-2", script);
+    platform_deployment d;
+    d.add_server(one, "s", "ready", {}, 1);
+    d.add_server(two, "s", "ready", {}, 1);
+    d.start_with(make_manifest(1));
+    for (const std::string target : {"/resumable/begun", "/resumable/not-begun"}) {
+        over = false;
+        auto busy = std::async(std::launch::async,
+                               [&] { return d.call("POST", "/resumable/busy", "b", {}); });
+        const auto arrivals = [&] { return one.seen().size() + two.seen().size(); };
+        const auto before = arrivals();
+        ASSERT_TRUE(wait_until([&] { return arrivals() > before; }));
+        const auto answer = d.call_with_headers("POST", target, "b");
+        over = true;
+        EXPECT_TRUE(answer.complete) << target;
+        EXPECT_EQ(answer.status, 200U) << target;
+        EXPECT_EQ(answer.body, event_text(1) + event_text(2)) << target;
+        EXPECT_EQ(busy.get().status, 200U);
+    }
+}
+
 TEST(Deployment, AStalledStreamThatMayNotBeResumedIsAborted) {
     // In total longer than callers wait between two events.
     constexpr int heartbeats = 200;
