A request that continues isn't refused by the objective of its first event

What callers saw: LOST. An answer that had broken off was not continued although there was time: its repeat was refused as overloaded within one tick (20 to 25 ms) of the scheduler.

Cause: a queued request of the lowest tier is refused once it is 0.75 objectives late. The objective is for the first event; a repeat has always passed it, so it could only be granted at once or not at all.

Change: a request that a server has got already (work_item::repeated) comes before the new ones of its rank, by deadline, and is not refused by its objective or by the length of the queue; its deadline bounds it. At most a third of the candidates for a place are such requests, so that those which wait for few servers don't keep new ones from the others.

Tests: GrantScheduler.KeepsARequestThatContinuesPastItsObjective and RequestsThatContinueLeaveOtherServersToNewOnes.

--- a/include/tarragonspar/admission/tier_queue.hpp
+++ b/include/tarragonspar/admission/tier_queue.hpp
@@ -54,11 +54,12 @@
 
     /// @brief Returns the items that would be served next, at most `limit` of them, in order.
     ///
-    /// Inside a tier, requests that can no longer meet their latency objective come after those of
-    /// their own and the next less urgent rank that still can: if a burst were served in order of
-    /// arrival, all of its requests would be late. Inside a rank, workspaces beyond the slack come
-    /// after the eligible ones, the least served first, so that a request that waits for capacity
-    /// on one particular server does not block others of its rank.
+    /// Inside a rank, requests that continue come first: their callers have waited already, or hold
+    /// a part of the answer. Inside a tier, requests that can no longer meet their latency
+    /// objective come after those of their own and the next less urgent rank that still can: if a
+    /// burst were served in order of arrival, all of its requests would be late. Inside a rank,
+    /// workspaces beyond the slack come after the eligible ones, the least served first, so that a
+    /// request that waits for capacity on one particular server does not block others of its rank.
     /// @par Complexity  `limit` times the waiting workspaces
     [[nodiscard]] std::vector<const queued_item*>
     candidates(tier max_tier, std::size_t limit, time_point now = time_point::min()) const;
@@ -130,7 +131,8 @@
     [[nodiscard]] static constexpr std::size_t first_level(tier which) noexcept {
         return std::size_t{which.value} * rank_count;
     }
-    void collect(const priority_level& level, bool on_time, std::size_t limit, time_point now,
+    enum class selection : std::uint8_t { continuing, on_time, late };
+    void collect(const priority_level& level, selection which, std::size_t limit, time_point now,
                  std::vector<const queued_item*>& out) const;
 
     queue_options options_;
--- a/include/tarragonspar/types/work.hpp
+++ b/include/tarragonspar/types/work.hpp
@@ -33,6 +33,12 @@
     domain_name_id origin_domain{}; ///< of the instance that dispatches it; 0: unknown
 };
 
+/// @brief Whether a request continues one that a server has begun. Refusing it wastes that work,
+/// and its latency objective says nothing about what is left of it.
+[[nodiscard]] constexpr bool continues(const work_item& work) noexcept {
+    return work.repeated;
+}
+
 /// @brief Chain hashes of the complete blocks in a prompt's text.
 ///
 /// Two prompts share their first n hashes exactly if they share their first n blocks.
--- a/src/admission/tier_queue.cpp
+++ b/src/admission/tier_queue.cpp
@@ -9,9 +9,18 @@
 /// Number of idle flows above which they are evicted.
 constexpr std::size_t max_idle_flows = 64;
 
+/// Separates the requests that continue, by deadline, from all others, which come after them.
+constexpr time_point first_due_of_new{duration::min() / 2};
+/// Divides the number of candidates. No more than the quotient may be requests of one rank that
+/// continue, since those may wait for a few servers only, while others are free.
+constexpr std::size_t continuing_divisor = 3;
+
 /// Returns the time that a request is ordered by: its latency objective if it has one, else its
-/// deadline.
+/// deadline. The objective of a request that continues was for the beginning of its answer.
 time_point due(const work_item& work) {
+    if (continues(work)) {
+        return time_point::min() + work.deadline.time_since_epoch();
+    }
     return work.objective == time_point{} ? work.deadline : work.objective;
 }
 
@@ -127,7 +136,7 @@
     return nullptr;
 }
 
-void tier_queue::collect(const priority_level& level, bool on_time, std::size_t limit,
+void tier_queue::collect(const priority_level& level, selection which, std::size_t limit,
                          time_point now, std::vector<const queued_item*>& out) const {
     if (level.backlogged.empty()) {
         return;
@@ -140,9 +149,14 @@
     };
     const auto range_of = [&](const workspace_id& workspace) {
         const auto& order = level.flows.at(workspace).order;
-        const auto first_on_time = order.lower_bound({now, request_id{}});
-        return on_time ? item_range{first_on_time, order.end()}
-                       : item_range{order.begin(), first_on_time};
+        const auto first_new = order.lower_bound({first_due_of_new, request_id{}});
+        if (which == selection::continuing) {
+            return item_range{order.begin(), first_new};
+        }
+        const auto first_on_time =
+            order.lower_bound({std::max(now, first_due_of_new), request_id{}});
+        return which == selection::on_time ? item_range{first_on_time, order.end()}
+                                           : item_range{first_new, first_on_time};
     };
     const auto last = level.backlogged.begin()->first + options_.fairness_slack_seconds;
     std::vector<item_range> ranges;
@@ -178,10 +192,14 @@
         // A late answer of one rank is still worth more than a timely one two ranks below.
         for (std::size_t rank = 0; rank <= rank_count; ++rank) {
             if (rank < rank_count) {
-                collect(levels_.at(first_level({urgency}) + rank), true, limit, now, out);
+                const auto& level = levels_.at(first_level({urgency}) + rank);
+                collect(level, selection::continuing,
+                        std::min(limit, out.size() + limit / continuing_divisor), now, out);
+                collect(level, selection::on_time, limit, now, out);
             }
             if (rank > 0) {
-                collect(levels_.at(first_level({urgency}) + rank - 1), false, limit, now, out);
+                collect(levels_.at(first_level({urgency}) + rank - 1), selection::late, limit, now,
+                        out);
             }
         }
     }
--- a/src/dispatch/shedding.cpp
+++ b/src/dispatch/shedding.cpp
@@ -274,7 +274,7 @@
         }
         pool.queue.for_each(*lowest, [&](const admission::queued_item& item) {
             const auto& work = item.work;
-            if (work.objective != time_point{} &&
+            if (work.objective != time_point{} && !continues(work) &&
                 now > work.objective + late_tolerance(target, work)) {
                 late.push_back(work.id);
             }
@@ -362,7 +362,8 @@
     const auto& pool = target.pools.at(model);
     while (pool.queue.size() > 1) {
         const auto& last_due = pool.queue.latest_due_of_lowest_tier()->work;
-        if (predicted_wait(target, pool, model) <= max_wait(target, last_due)) {
+        if (continues(last_due) ||
+            predicted_wait(target, pool, model) <= max_wait(target, last_due)) {
             return;
         }
         refuse_queued(target, last_due.id, reason::overloaded, now, effects);
--- a/tests/grant_scheduler_fixture.hpp
+++ b/tests/grant_scheduler_fixture.hpp
@@ -77,6 +77,12 @@
         store_results(made);
     }
 
+    void check_waiting() {
+        std::vector<decision> made;
+        dispatch::tick(scheduler, now, made);
+        store_results(made);
+    }
+
     void handle_notice(const server_notice& notice) {
         std::vector<decision> made;
         static_cast<void>(record(scheduler, notice, now, made));
--- a/tests/unit-grant_scheduler_waiting.cpp
+++ b/tests/unit-grant_scheduler_waiting.cpp
@@ -81,6 +81,60 @@
 // Guards against one fixed maximum wait for all requests: requests with objectives of a few hundred
 // milliseconds stayed queued until after they were late, and their callers lost the time for a
 // retry.
+// LOST: a broken-off answer was refused its continuation by the objective for its first event.
+TEST(GrantScheduler, KeepsARequestThatContinuesPastItsObjective) {
+    fixture f({make_server(1), make_server(2)});
+    auto broken_off = f.make(1, 1);
+    broken_off.objective = f.now + milliseconds{400};
+    f.ask(broken_off);
+    f.ask(f.make(2, 1));
+    f.now += milliseconds{1'200};
+    auto fresh = f.make(3, 1);
+    fresh.objective = f.now + milliseconds{400};
+    f.ask(fresh);
+    broken_off.repeated = true;
+    broken_off.avoid.push_back(f.granted.at(1).server);
+    const auto left = f.granted.at(1).server;
+    f.ask(broken_off, previous_grant::server_failed);
+    f.check_waiting();
+    EXPECT_TRUE(f.refused.empty());
+    // The fresh request has taken the place that the failed attempt left; the next one is for the
+    // request that continues, at the other server, before all new ones.
+    auto later = f.make(4, 1);
+    later.objective = f.now + milliseconds{300};
+    f.ask(later);
+    f.report_update(2, grant_update::stage::done);
+    ASSERT_TRUE(f.granted.contains(1));
+    EXPECT_NE(f.granted.at(1).server, left);
+    EXPECT_FALSE(f.granted.contains(4));
+}
+
+TEST(GrantScheduler, RequestsThatContinueLeaveOtherServersToNewOnes) {
+    fixture f({make_server(1, 8), make_server(2, 1)});
+    for (std::uint64_t sequence = 1; sequence <= 8; ++sequence) {
+        f.ask(f.make(sequence, 1));
+    }
+    std::uint64_t busy = 0;
+    for (const auto& [sequence, given] : f.granted) {
+        busy = given.server.value == 2 ? sequence : busy;
+    }
+    f.ask(f.make(9, 1));
+    for (const auto& [sequence, given] : f.granted) {
+        busy = given.server.value == 2 ? sequence : busy;
+    }
+    ASSERT_NE(busy, 0U);
+    for (std::uint64_t sequence = 20; sequence < 40; ++sequence) {
+        auto waiting = f.make(sequence, 1);
+        waiting.repeated = true;
+        waiting.avoid.push_back({1});
+        f.ask(waiting);
+    }
+    f.report_update(busy == 1 ? 2 : 1, grant_update::stage::done);
+    f.ask(f.make(50, 1));
+    f.check_waiting();
+    EXPECT_TRUE(f.granted.contains(50)) << "they wait for the second server only";
+}
+
 TEST(GrantScheduler, MaximumWaitDependsOnObjectiveOfRequest) {
     fixture f({make_server(1)});
     const auto ask_with_objective = [&](std::uint64_t sequence, milliseconds objective) {
