A server's error is kept while another server is tried

Change: a complete error of up to 16 KB is kept, and passed on unchanged if no other server gives a better answer. A larger one is passed on at once.

Test: FaultyServer.AnErrorIsPassedOnWhenNoOtherServerAnswers.

--- a/include/tarragonspar/gateway/relayed_request.hpp
+++ b/include/tarragonspar/gateway/relayed_request.hpp
@@ -66,6 +66,8 @@
     std::uint32_t unreachable{0}; ///< servers that accepted no connection
     bool may_have_run{false};     ///< the request was sent to a server that did not decline it
     bool retry_allowed{false};    ///< the retry allowance has already granted another attempt
+    /// A complete answer with an error, for the case that no other server gives a better one.
+    std::optional<http::reply> kept_answer;
     bool response_started{false}; ///< the head of the answer has been sent to the caller
     /// The last event that the caller has received, on an earlier connection if the stream may be
     /// continued.
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -300,6 +300,13 @@
         co_return;
     }
     http::reply out;
+    if (request->kept_answer) {
+        out = std::move(*request->kept_answer);
+        request->status = out.status;
+        request->bytes_sent = out.body.size();
+        co_await with.respond(std::move(out));
+        co_return;
+    }
     const auto* refused =
         request->grant_result ? std::get_if<dispatch::refusal>(&*request->grant_result) : nullptr;
     if (request->may_have_run) {
--- a/src/gateway/relay_answer.cpp
+++ b/src/gateway/relay_answer.cpp
@@ -21,6 +21,9 @@
 /// Largest answer that is no event stream. It is many times the size of what services send, so a
 /// larger answer is taken to be endless.
 constexpr std::size_t max_answer = 64 * 1024 * 1024;
+/// Largest answer with an error that is kept while another server is tried. Services send some
+/// hundred bytes; a larger answer is passed on at once.
+constexpr std::size_t max_kept_answer = 16 * 1024;
 /// Largest single event; some thousand tokens take some tens of kilobytes. It is less while many
 /// answers are buffered.
 constexpr std::size_t max_event = 1024 * 1024;
@@ -96,18 +99,20 @@
         co_await with.end_stream();
         co_return attempt_end::done;
     }
-    const auto repeatable = head.status >= status_server_error && request->work.idempotent;
-    if (repeatable && may_retry(*request, attempt_end::failed)) {
-        request->retry_allowed = true;
-        co_return attempt_end::failed;
-    }
-    request->status = head.status;
-    request->bytes_sent = body.size();
     http::reply out;
     out.status = head.status;
     out.content_type.clear();
     out.headers = std::move(head.headers);
     out.body = std::move(body);
+    const auto repeatable = out.status >= status_server_error && request->work.idempotent &&
+                            out.body.size() <= max_kept_answer;
+    if (repeatable && may_retry(*request, attempt_end::failed)) {
+        request->retry_allowed = true;
+        request->kept_answer = std::move(out);
+        co_return attempt_end::failed;
+    }
+    request->status = out.status;
+    request->bytes_sent = out.body.size();
     co_await with.respond(std::move(out));
     co_return attempt_end::done;
 }
--- a/tests/unit-deployment_faulty_server.cpp
+++ b/tests/unit-deployment_faulty_server.cpp
@@ -248,6 +248,27 @@
 
 } // namespace
 
+// The answer was put aside for a repeat that was then refused, and replaced by a 502.
+TEST(FaultyServer, AnErrorIsPassedOnWhenNoOtherServerAnswers) {
+    std::atomic<int> arrivals{0};
+    const scripted_server server(
+        "i-1", [&](const received_request& request, asio::ip::tcp::socket& socket) {
+            if (++arrivals == 1) {
+                write_raw(socket, complete_answer(request, "what failed", "500 Failed"));
+            } else {
+                reset(socket);
+            }
+        });
+    platform_deployment d;
+    d.add_server(server, "s");
+    d.start_with(make_manifest(1));
+    const auto got = d.call_with_headers("GET", "/safe/x", "");
+    EXPECT_EQ(arrivals, 2);
+    EXPECT_EQ(got.status, 500U);
+    EXPECT_EQ(got.body, "what failed");
+    EXPECT_EQ(got.headers.at("Response-Signature"), "sig");
+}
+
 TEST(FaultyServer, AStreamWithoutLengthIsCompleteOnlyIfItEndsAfterAnEvent) {
     const auto two = pieces(1, 2);
     expect_results({"once"},
