Streams go on only at the software version that began them

A stream held events of servers of two software versions: within one answer (it began at v1.1, the server crashed, the instance went on at v1), and over a caller's attempts (it came back at another instance, which sent it to the other version).

Cause: nobody knew the version of a server, and what the caller names as its earlier attempt was not read.

Change: the list's version of a server is read, a grant carries it, and the first event binds the rest of the stream to it. Who comes back names the attempt; its origin is known where it began, or to the leader, from the grant, the first-token message and, for a new leader, from the reports.

--- a/include/tarragonspar/config/catalogue.hpp
+++ b/include/tarragonspar/config/catalogue.hpp
@@ -131,6 +131,10 @@
 /// of two seconds, four times the latency objective and eight times the gap objective.
 [[nodiscard]] std::chrono::milliseconds caller_stall_timeout(const route& value) noexcept;
 
+/// @brief Whether another server may continue a stream of a route after an event. A safe request
+/// may only be repeated as a whole: the events of two runs don't belong together.
+[[nodiscard]] bool is_resumable(const route& value) noexcept;
+
 /// @brief Whether requests of a route may run more than once.
 [[nodiscard]] bool is_idempotent(const route& value) noexcept;
 
--- a/include/tarragonspar/config/configuration.hpp
+++ b/include/tarragonspar/config/configuration.hpp
@@ -39,12 +39,16 @@
     std::string hardware_class;      ///< servers of one class are assumed to be equally fast
     std::uint32_t slots{8};          ///< initial estimate of concurrent requests
     bool slots_are_exact{false};     ///< `slots` is the server's admission limit, not an estimate
+    std::string software_version;    ///< of its program, not of the models; empty: not given
     bool checks_fencing{false};      ///< rejects requests with an outdated fencing number
     /// Start time of the program in Unix milliseconds, if the server list gives it; 0: unknown.
     std::uint64_t started_at_ms{0};
     friend bool operator==(const server&, const server&) = default;
 };
 
+/// @brief Returns the id of a server's software version.
+[[nodiscard]] software_id software_of(const server& value) noexcept;
+
 /// @brief Limit on the queued and running requests of one workspace at an owner.
 struct workspace_limit {
     std::string workspace;
--- a/include/tarragonspar/dispatch/detail/server_events.hpp
+++ b/include/tarragonspar/dispatch/detail/server_events.hpp
@@ -8,7 +8,7 @@
 namespace tarragonspar::dispatch::detail {
 
 /// @brief Whether any active owned server offers the model.
-[[nodiscard]] bool has_server(const scheduler& source, model_id model);
+[[nodiscard]] bool has_server(const scheduler& source, const work_item& work);
 
 /// @brief Returns the earliest end of the backoffs that the servers of a request asked of its
 /// dispatcher, if all of its active servers did.
--- a/include/tarragonspar/dispatch/grant_scheduler.hpp
+++ b/include/tarragonspar/dispatch/grant_scheduler.hpp
@@ -10,6 +10,7 @@
 #include "tarragonspar/admission/quota.hpp"
 #include "tarragonspar/dispatch/draining_servers.hpp"
 #include "tarragonspar/dispatch/scheduler.hpp"
+#include "tarragonspar/dispatch/stream_versions.hpp"
 
 namespace tarragonspar::dispatch {
 
@@ -18,6 +19,7 @@
     server_id server;
     std::string server_name; ///< the platform's name of the server
     std::string address;     ///< `IP:port`
+    software_id software;    ///< 0: granted by an instance of an earlier version
 };
 
 /// @brief Refusal of a request: it must not be sent to any server.
@@ -61,6 +63,11 @@
     bool server_fault{false};
     bool server_lost{false};                ///< the server ended the connection, as a crash does
     server_fate fate{server_fate::unknown}; ///< if the server was lost: what became of it
+    /// With the first event of a stream that callers may take up: its key, the software version of
+    /// its server, and for how long callers may.
+    std::uint64_t stream{};
+    software_id software;
+    duration take_up_time{};
 };
 
 /// @brief A request that its dispatcher has sent to a server.
@@ -101,6 +108,7 @@
     scheduler decisions{.options = grant_scheduler_options()};
     std::map<server_id, config::server> servers;
     draining_servers known_draining;
+    stream_versions streams;
     admission::quota_table quotas;
     std::map<instance_id, dispatcher_state> dispatchers;
     std::map<instance_id, time_point> last_contact; ///< includes dispatchers that have timed out
--- a/include/tarragonspar/gateway/control_link.hpp
+++ b/include/tarragonspar/gateway/control_link.hpp
@@ -80,6 +80,19 @@
     /// @param sent        when the request was sent
     void record_limit(server_id server, std::optional<double> per_second, time_point sent);
 
+    /// @brief Records the origin of a stream whose first event arrived here. Reports tell it to the
+    /// leader.
+    void record_stream(const dispatch::stream_origin& origin) {
+        local_scheduler_->record_own(origin);
+    }
+    /// @brief Returns the software version that began a stream, if it is recorded here.
+    [[nodiscard]] std::optional<software_id> find_stream(std::uint64_t stream) const;
+    /// @brief Whether this instance has known servers of several software versions of a service
+    /// while streams last.
+    [[nodiscard]] bool has_several_versions(model_id service) const;
+    /// @brief Returns the software version of a listed server.
+    [[nodiscard]] std::optional<software_id> find_software(server_id server) const;
+
     void set_document(const config::document& in_force, const config::catalogue& content);
     /// @brief Stores a list of servers that was read from the platform `age` ago; an older list
     /// than the known one is ignored.
@@ -135,7 +148,12 @@
                           std::optional<config::document_part> part);
     void check_document();
     void update_local_shares();
-    void on_control_update(instance_id from, time_point requested,
+    /// Which origins of streams a report held, by their numbers.
+    struct sent_streams {
+        std::uint64_t after{}; ///< number of the last one before them
+        std::uint64_t last{};
+    };
+    void on_control_update(instance_id from, time_point requested, const sent_streams& streams,
                            const std::optional<control_update>& update);
     void set_scheduler(std::optional<instance_id> scheduler);
     void choose_target(std::optional<instance_id> leader);
@@ -181,6 +199,8 @@
     std::shared_ptr<grant_service> local_scheduler_;
     std::unordered_map<request_id, pending_grant> pending_grants_;
     std::uint64_t last_query_{0};
+    /// Number of the last origin of a stream that the leader has got from this instance.
+    std::uint64_t streams_confirmed_{0};
     bool stopped_{false};
 };
 
--- a/include/tarragonspar/gateway/dialect.hpp
+++ b/include/tarragonspar/gateway/dialect.hpp
@@ -31,8 +31,10 @@
     token_count expected_output; ///< the caller's estimate; 0: none
     std::vector<prompt_part> parts;
     std::optional<std::uint64_t> resume_after; ///< id of the last event that the caller received
-    http::header_list forwarded_headers;       ///< headers for the server, unchanged
-    std::string error;                         ///< why the request is malformed; empty: it is not
+    /// The caller's id of the earlier request whose answer began the stream that it takes up.
+    std::string resumed_attempt;
+    http::header_list forwarded_headers; ///< headers for the server, unchanged
+    std::string error;                   ///< why the request is malformed; empty: it is not
 };
 
 /// @brief The values that the system itself sets in a request to a backend server.
--- a/include/tarragonspar/gateway/entry_instance.hpp
+++ b/include/tarragonspar/gateway/entry_instance.hpp
@@ -80,6 +80,13 @@
     /// is confirmed to be the newest, else so that the caller returns.
     [[nodiscard]] http::reply refuse_by_catalogue(unsigned status, const std::string& why);
     void fill_work(relayed_request& request);
+    /// @brief Identifies the stream that a request begins, or that its caller takes up.
+    void fill_stream(relayed_request& request);
+    /// @brief Records the answer to a request that takes up a stream.
+    void record_take_up(relayed_request& request);
+    /// @brief Records the first event of an answer. Only servers of the same software version may
+    /// continue it from now on.
+    void record_first_event(relayed_request& request);
     void watch_caller(const request_ptr& request, http::exchange& with);
     /// @brief Ends the request at its deadline, or before this instance exits.
     void arm_deadline_timer(const request_ptr& request);
--- a/include/tarragonspar/gateway/grant_service.hpp
+++ b/include/tarragonspar/gateway/grant_service.hpp
@@ -42,6 +42,13 @@
     [[nodiscard]] std::vector<dispatch::limit_statement> limits(bool own_only) const;
     /// @param share  share of the servers' request limits that this scheduler may use
     void set_request_limit_share(double share);
+    /// @brief Records the origin of a stream whose first event arrived at this instance.
+    void record_own(const dispatch::stream_origin& origin);
+    /// @brief Records the origins of streams that another instance reports.
+    void record(const std::vector<dispatch::stream_origin>& origins);
+    [[nodiscard]] const dispatch::stream_versions& streams() const {
+        return scheduler_.streams;
+    }
     /// @brief From now on this instance grants all requests, as the leader does.
     void begin_to_grant_all();
     /// @brief Adds another instance's evidence about prompt parts that crash servers.
--- a/include/tarragonspar/gateway/reports.hpp
+++ b/include/tarragonspar/gateway/reports.hpp
@@ -20,6 +20,7 @@
     std::uint32_t entry_instances{1}; ///< number in the deployment, as the last leader reported it
     std::string packed_suspicions;    ///< evidence about prompt parts; empty: none
     std::string packed_limits;        ///< request limits that servers named here; empty: none
+    std::string packed_streams;       ///< origins of streams that began here; empty: none
     /// Whether it asks for documents part by part. Instances of an earlier version expect them
     /// whole in the answer.
     bool reads_document_parts{true};
@@ -67,6 +68,10 @@
 [[nodiscard]] std::string pack(const std::vector<dispatch::limit_statement>& value, time_point now);
 [[nodiscard]] std::optional<std::vector<dispatch::limit_statement>>
 unpack_limits(const std::string& bytes, time_point now);
+/// @return an empty string if there are no origins
+[[nodiscard]] std::string pack(const std::vector<dispatch::stream_origin>& value, time_point now);
+[[nodiscard]] std::optional<std::vector<dispatch::stream_origin>>
+unpack_streams(const std::string& bytes, time_point now);
 /// @return an empty string if there is no evidence
 [[nodiscard]] std::string pack(const dispatch::suspicion_report& value, time_point now);
 [[nodiscard]] std::optional<dispatch::suspicion_report> unpack_suspicions(const std::string& bytes,
--- a/include/tarragonspar/routing/server_model.hpp
+++ b/include/tarragonspar/routing/server_model.hpp
@@ -40,6 +40,7 @@
     std::uint64_t pending_prefill{}; ///< prompt tokens of dispatched requests without a first token
     double slowness{1.0};            ///< time per token relative to its hardware class
     time_point last_dispatch{};
+    software_id software;          ///< version of its program
     std::uint64_t started_at_ms{}; ///< start time in the server's description; 0: not known
 };
 
@@ -71,6 +72,9 @@
 /// rejected by its estimated speed then: only the answer to another request corrects the estimate.
 [[nodiscard]] bool is_estimate_unverified(const server_model& server, time_point now);
 
+/// @brief Whether the server's software version may get a request.
+[[nodiscard]] bool may_get(const server_model& server, const work_item& work) noexcept;
+
 /// @brief Whether the server offers a model or service.
 [[nodiscard]] bool offers(const server_model& server, model_id model);
 
--- a/include/tarragonspar/telemetry/metrics.hpp
+++ b/include/tarragonspar/telemetry/metrics.hpp
@@ -88,6 +88,9 @@
 
     /// @brief Counts bytes of documents that were sent to another instance.
     void count_document_bytes(std::size_t bytes);
+    /// @brief Counts a stream that a caller takes up.
+    /// @param version  what is known of the software version that began it
+    void count_stream_taken_up(std::string_view version);
 
     /// @brief Returns all series in the Prometheus text format.
     [[nodiscard]] std::string expose() const;
@@ -121,6 +124,7 @@
     prometheus::Family<prometheus::Histogram>* disk_writes_;
     prometheus::Family<prometheus::Histogram>* query_waits_;
     prometheus::Counter* document_bytes_;
+    prometheus::Family<prometheus::Counter>* streams_taken_up_;
     std::size_t max_workspaces_;
     std::mutex mutex_;
     std::map<std::string, bool> labelled_workspaces_;
--- a/include/tarragonspar/types/ids.hpp
+++ b/include/tarragonspar/types/ids.hpp
@@ -30,6 +30,8 @@
 using workspace_id = strong_id<struct workspace_tag, std::uint64_t>;
 /// Hash of a model name or of a service name.
 using model_id = strong_id<struct model_tag, std::uint64_t>;
+/// Hash of the name of a server's software version; 0: not known.
+using software_id = strong_id<struct software_tag, std::uint64_t>;
 /// Hash of a chain of prompt blocks, from the start of the prompt.
 using block_hash = strong_id<struct block_tag, std::uint64_t>;
 /// Number of a process start of one instance; increases with every start.
--- a/include/tarragonspar/types/outcome.hpp
+++ b/include/tarragonspar/types/outcome.hpp
@@ -28,6 +28,7 @@
     no_quorum,        ///< the key could not be claimed: no majority of the control group answers
     catching_up,      ///< the instance has just started and does not know the configuration yet
     quarantined,      ///< servers crashed under a part of its prompt
+    version_unknown,  ///< it continues a stream, and no one knows which software version began it
 };
 
 /// @brief Returns the stable name for logs, metrics and problem documents.
@@ -73,9 +74,11 @@
     case reason::catching_up:
         return "catching_up";
     case reason::quarantined:
+        return "quarantined";
+    case reason::version_unknown:
         break;
     }
-    return "quarantined";
+    return "version_unknown";
 }
 
 } // namespace tarragonspar
--- a/include/tarragonspar/types/work.hpp
+++ b/include/tarragonspar/types/work.hpp
@@ -31,12 +31,18 @@
     token_count expected_output;    ///< the caller's estimate of the answer's length; 0: none
     std::uint32_t quota_units{};    ///< units that it takes from its workspace's quota
     domain_name_id origin_domain{}; ///< of the instance that dispatches it; 0: unknown
+    /// Key under which callers take up the stream that it begins or continues; 0: they can't.
+    std::uint64_t stream{};
+    std::uint64_t resumed_stream{}; ///< key of the stream that its caller takes up; 0: none
+    software_id software;           ///< the only software version whose servers may get it; 0: any
+    /// Its dispatcher knows servers of several software versions, now or while streams last.
+    bool several_versions{false};
 };
 
 /// @brief Whether a request continues one that a server has begun. Refusing it wastes that work,
 /// and its latency objective says nothing about what is left of it.
 [[nodiscard]] constexpr bool continues(const work_item& work) noexcept {
-    return work.repeated;
+    return work.repeated || work.software != software_id{};
 }
 
 /// @brief Chain hashes of the complete blocks in a prompt's text.
--- a/include/tarragonspar/wire/schema/instance.capnp.h
+++ b/include/tarragonspar/wire/schema/instance.capnp.h
@@ -83,7 +83,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9f94c6cef8b46c80, 10, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(9f94c6cef8b46c80, 13, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -740,6 +740,14 @@
 
   inline bool getRepeated() const;
 
+  inline  ::uint64_t getStream() const;
+
+  inline  ::uint64_t getResumedStream() const;
+
+  inline  ::uint64_t getSoftware() const;
+
+  inline bool getSeveralVersions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -847,6 +855,18 @@
   inline bool getRepeated();
   inline void setRepeated(bool value);
 
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
+
+  inline  ::uint64_t getResumedStream();
+  inline void setResumedStream( ::uint64_t value);
+
+  inline  ::uint64_t getSoftware();
+  inline void setSoftware( ::uint64_t value);
+
+  inline bool getSeveralVersions();
+  inline void setSeveralVersions(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3996,6 +4016,62 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Work::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Work::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void Work::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Work::Reader::getResumedStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Work::Builder::getResumedStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void Work::Builder::setResumedStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Work::Reader::getSoftware() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Work::Builder::getSoftware() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void Work::Builder::setSoftware( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Work::Reader::getSeveralVersions() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline bool Work::Builder::getSeveralVersions() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void Work::Builder::setSeveralVersions(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Call::Reader::getPlain() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/schema/instance.capnp
+++ b/schema/instance.capnp
@@ -36,6 +36,11 @@
   sharedParts @18 :List(UInt64);
   # Keys of the prompt's parts that other requests may share.
   repeated @19 :Bool;
+  stream @20 :UInt64;
+  resumedStream @21 :UInt64;
+  software @22 :UInt64;
+  # Hash of the software version whose servers may get the request; 0 means any.
+  severalVersions @23 :Bool;
 }
 
 struct Call {
--- a/src/config/catalogue.cpp
+++ b/src/config/catalogue.cpp
@@ -128,6 +128,10 @@
                      gap_multiplier * value.gap_objective});
 }
 
+bool is_resumable(const route& value) noexcept {
+    return value.kind == request_kind::streaming && value.resumable;
+}
+
 bool is_idempotent(const route& value) noexcept {
     return value.kind == request_kind::safe ||
            (value.kind == request_kind::streaming && value.resumable);
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -77,6 +77,10 @@
     return "retired";
 }
 
+software_id software_of(const server& value) noexcept {
+    return {hash_name(value.software_version)};
+}
+
 void to_json(nlohmann::json& out, const profile& value) {
     out = {{"name", value.name},
            {"tier", value.urgency.value},
@@ -108,6 +112,9 @@
     if (value.started_at_ms != 0) {
         out["started_at_ms"] = value.started_at_ms;
     }
+    if (!value.software_version.empty()) {
+        out["software_version"] = value.software_version;
+    }
 }
 
 void from_json(const nlohmann::json& in, server& value) {
@@ -123,6 +130,7 @@
     value.slots_are_exact = in.value("slots_are_exact", false);
     value.checks_fencing = in.value("checks_fencing", false);
     value.started_at_ms = in.value("started_at_ms", std::uint64_t{0});
+    value.software_version = in.value("software_version", "");
 }
 
 void to_json(nlohmann::json& out, const workspace_limit& value) {
--- a/src/dispatch/grant_scheduler.cpp
+++ b/src/dispatch/grant_scheduler.cpp
@@ -23,15 +23,28 @@
 /// before the grant arrived.
 constexpr duration missing_grant_timeout = std::chrono::milliseconds{1'500};
 
-void append_decisions(grant_scheduler& target, const std::vector<effect>& effects,
+/// The dispatcher may be lost before it reports whose events the caller has got.
+void record_origin(grant_scheduler& target, const start_dispatch& start, software_id software,
+                   time_point now) {
+    const auto& work = target.decisions.running.at(start.id).work;
+    if (work.stream != 0) {
+        target.streams.record_grant(
+            {.stream = work.stream, .software = software, .until = take_up_end(work)}, now);
+    }
+}
+
+void append_decisions(grant_scheduler& target, const std::vector<effect>& effects, time_point now,
                       std::vector<decision>& out) {
     for (const auto& item : effects) {
         if (const auto* start = std::get_if<start_dispatch>(&item)) {
             const auto& server = target.servers.at(start->server);
+            const auto software = config::software_of(server);
+            record_origin(target, *start, software, now);
             out.push_back({.id = start->id,
                            .result = grant{.server = server.id,
                                            .server_name = server.name,
-                                           .address = server.address}});
+                                           .address = server.address,
+                                           .software = software}});
         } else if (const auto* refused = std::get_if<refuse>(&item)) {
             out.push_back(
                 {.id = refused->id,
@@ -44,7 +57,7 @@
                  std::vector<decision>& out) {
     std::vector<effect> effects;
     step(target.decisions, input, now, effects);
-    append_decisions(target, effects, out);
+    append_decisions(target, effects, now, out);
 }
 
 void release_requests(grant_scheduler& target, const std::vector<request_id>& ids, time_point now,
@@ -98,6 +111,10 @@
 constexpr duration min_retry_after = std::chrono::milliseconds{250};
 constexpr duration max_retry_after = std::chrono::milliseconds{1'000};
 
+/// Time after which a caller may return whose stream no instance knows the software version of: by
+/// then another instance may have reported it.
+constexpr duration version_retry_after = std::chrono::seconds{1};
+
 admission::quota_request make_quota_request(const work_item& work) {
     constexpr double range = 18446744073709551616.0; // 2 to the 64th
     const auto draw = hash_pair(work.id.issued_in.value, work.id.sequence);
@@ -135,6 +152,7 @@
     for (const auto& server : listed) {
         target.servers.emplace(server.id, server);
     }
+    target.streams.record_servers(listed, now);
     target.decisions.limits_named.forget(
         [&](server_id server) { return target.servers.contains(server); }, now);
     apply_event(target, ownership_changed{.owned = std::move(listed), .limits = {}}, now, out);
@@ -200,14 +218,26 @@
                     now, out);
     } else if (previous == previous_grant::unused) {
         apply_event(target, grant_refused{.id = work.id}, now, out);
-    } else if (const auto wait = admission::acquire(target.quotas, make_quota_request(work), now);
-               wait > duration{}) {
+    }
+    const auto version = target.streams.choose(work, now);
+    if (version.source == version_source::unknown) {
         out.push_back({.id = work.id,
-                       .result = refusal{.why = reason::workspace_limit, .retry_after = wait}});
+                       .result = refusal{.why = reason::version_unknown,
+                                         .retry_after = version_retry_after}});
         return;
     }
+    if (previous == previous_grant::none) {
+        const auto wait = admission::acquire(target.quotas, make_quota_request(work), now);
+        if (wait > duration{}) {
+            out.push_back({.id = work.id,
+                           .result = refusal{.why = reason::workspace_limit, .retry_after = wait}});
+            return;
+        }
+    }
+    auto restricted = work;
+    restricted.software = version.software;
     std::vector<decision> made;
-    apply_event(target, arrived{.work = work}, now, made);
+    apply_event(target, arrived{.work = std::move(restricted)}, now, made);
     for (const auto& item : made) {
         if (!work.repeated && item.id == work.id && std::holds_alternative<refusal>(item.result)) {
             admission::refund(target.quotas, work.workspace, work.quota_units);
@@ -223,6 +253,12 @@
         release_requests(target, {update.id}, now, out);
         return;
     case grant_update::stage::first_token:
+        if (update.stream != 0) {
+            target.streams.record_begin({.stream = update.stream,
+                                         .software = update.software,
+                                         .until = now + update.take_up_time},
+                                        false, now);
+        }
         apply_event(target, first_token{.id = update.id, .cached = std::nullopt}, now, out);
         return;
     case grant_update::stage::done:
--- a/src/dispatch/placing.cpp
+++ b/src/dispatch/placing.cpp
@@ -153,7 +153,7 @@
                                duration left, time_point now) {
     const auto& servers = servers_for(source, work.model);
     return std::any_of(servers.begin(), servers.end(), [&](const auto* server) {
-        return server->state == config::server_state::active &&
+        return server->state == config::server_state::active && routing::may_get(*server, work) &&
                routing::allows(server->breaker, now) && routing::has_speed_estimate(*server) &&
                routing::predict(*server, work, output).finish <= left;
     });
@@ -169,7 +169,7 @@
     const auto service = source.pools.at(work.model).service_seconds;
     const auto& servers = servers_for(source, work.model);
     return std::any_of(servers.begin(), servers.end(), [&](const auto* server) {
-        if (server->state != config::server_state::active ||
+        if (server->state != config::server_state::active || !routing::may_get(*server, work) ||
             !routing::has_speed_estimate(*server) || !routing::allows(server->breaker, now) ||
             routing::has_free_slot(*server, now)) {
             return false;
@@ -194,7 +194,7 @@
 bool has_healthy_server(const scheduler& source, const work_item& work, time_point now) {
     const auto& servers = servers_for(source, work.model);
     return std::any_of(servers.begin(), servers.end(), [&](const auto* server) {
-        return server->state == config::server_state::active &&
+        return server->state == config::server_state::active && routing::may_get(*server, work) &&
                !routing::is_half_open(server->breaker) &&
                !is_backing_off(source, server->id, work.id.issuer, now) &&
                std::find(work.avoid.begin(), work.avoid.end(), server->id) == work.avoid.end();
@@ -234,7 +234,8 @@
     std::optional<duration> best_after_wait;
     for (auto* candidate : servers_for(target, work.model)) {
         auto& server = *candidate;
-        if (std::find(work.avoid.begin(), work.avoid.end(), server.id) != work.avoid.end() ||
+        if (!routing::may_get(server, work) ||
+            std::find(work.avoid.begin(), work.avoid.end(), server.id) != work.avoid.end() ||
             is_backing_off(target, server.id, work.id.issuer, now) ||
             !is_within_limit(target, server.id, now)) {
             continue;
@@ -298,7 +299,8 @@
 /// late there is considered for all servers at the next tick.
 bool may_serve(const scheduler& source, const routing::server_model& server, const work_item& work,
                time_point now) {
-    if (!routing::offers(server, work.model) || !routing::has_free_slot(server, now)) {
+    if (!routing::offers(server, work.model) || !routing::may_get(server, work) ||
+        !routing::has_free_slot(server, now)) {
         return false;
     }
     const auto predicted = routing::predict(server, work, predicted_output(source, work));
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -82,7 +82,7 @@
 bool has_alternative(const scheduler& source, const work_item& work) {
     const auto& servers = detail::servers_for(source, work.model);
     return std::any_of(servers.begin(), servers.end(), [&](const auto* server) {
-        return server->state == config::server_state::active &&
+        return server->state == config::server_state::active && routing::may_get(*server, work) &&
                std::find(work.avoid.begin(), work.avoid.end(), server->id) == work.avoid.end();
     });
 }
@@ -135,7 +135,7 @@
             .id = work.id, .why = reason::workspace_limit, .retry_after = std::chrono::seconds{1}});
         return;
     }
-    if (!detail::has_server(target, work.model)) {
+    if (!detail::has_server(target, work)) {
         effects.emplace_back(refuse{
             .id = work.id, .why = reason::no_server, .retry_after = std::chrono::seconds{2}});
         return;
@@ -202,7 +202,7 @@
     }
     const auto attempts = item.failed_dispatches + 1;
     if (attempts >= max_failed_dispatches || !routing::try_retry(target.retries) ||
-        !detail::has_server(target, item.work.model)) {
+        !detail::has_server(target, item.work)) {
         detail::record_removal(target, item.work, now);
         effects.emplace_back(refuse{
             .id = input.id, .why = reason::no_server, .retry_after = std::chrono::seconds{2}});
--- a/src/dispatch/server_events.cpp
+++ b/src/dispatch/server_events.cpp
@@ -8,10 +8,10 @@
 
 namespace tarragonspar::dispatch::detail {
 
-bool has_server(const scheduler& source, model_id model) {
-    const auto& servers = servers_for(source, model);
-    return std::any_of(servers.begin(), servers.end(), [](const auto* server) {
-        return server->state == config::server_state::active;
+bool has_server(const scheduler& source, const work_item& work) {
+    const auto& servers = servers_for(source, work.model);
+    return std::any_of(servers.begin(), servers.end(), [&](const auto* server) {
+        return server->state == config::server_state::active && routing::may_get(*server, work);
     });
 }
 
@@ -22,7 +22,7 @@
     }
     std::optional<time_point> first;
     for (const auto* server : servers_for(source, work.model)) {
-        if (server->state != config::server_state::active) {
+        if (server->state != config::server_state::active || !routing::may_get(*server, work)) {
             continue;
         }
         const auto found = source.backoffs.find({server->id, work.id.issuer});
@@ -36,11 +36,11 @@
 
 namespace {
 
-/// Refuses queued requests for models that no server offers any longer.
+/// Refuses queued requests that no server offers to serve any longer.
 void refuse_unservable(scheduler& target, time_point now, std::vector<effect>& effects) {
     std::vector<request_id> unservable;
     for (const auto& [id, model] : target.queued_model) {
-        if (!has_server(target, model)) {
+        if (!has_server(target, target.pools.at(model).queue.find(id)->work)) {
             unservable.push_back(id);
         }
     }
@@ -208,6 +208,7 @@
                 kept.slowness = 1.0;
             }
             kept.started_at_ms = model.started_at_ms;
+            kept.software = model.software;
             kept.state = model.state;
             kept.offers = std::move(model.offers);
             kept.failure_domain = model.failure_domain;
--- a/src/dispatch/shedding.cpp
+++ b/src/dispatch/shedding.cpp
@@ -61,9 +61,10 @@
         source.lengths.predict(work.profile, work.workspace, work.max_output, optimistic_quantile);
     const auto left = work.deadline - now;
     const auto may_finish = [&](const routing::server_model* server) {
-        return !routing::has_speed_estimate(*server) ||
-               routing::is_estimate_unverified(*server, now) ||
-               routing::best_case(*server, work, output) <= left;
+        return routing::may_get(*server, work) &&
+               (!routing::has_speed_estimate(*server) ||
+                routing::is_estimate_unverified(*server, now) ||
+                routing::best_case(*server, work, output) <= left);
     };
     const auto& servers = servers_for(source, work.model);
     return !source.servers.empty() && std::none_of(servers.begin(), servers.end(), may_finish);
--- a/src/gateway/control_instance.cpp
+++ b/src/gateway/control_instance.cpp
@@ -231,6 +231,9 @@
         if (const auto told = unpack_limits(report->packed_limits, now())) {
             grant_service_->record(*told);
         }
+        if (const auto told = unpack_streams(report->packed_streams, now())) {
+            grant_service_->record(*told);
+        }
         expected_dispatchers_ = std::max(expected_dispatchers_, report->entry_instances);
         start_scheduling_if_ready();
         update_quota_share();
--- a/src/gateway/control_link.cpp
+++ b/src/gateway/control_link.cpp
@@ -123,19 +123,23 @@
     if (!target_) {
         return;
     }
+    const auto origins = local_scheduler_->streams().own_after(streams_confirmed_, now());
+    const sent_streams streams{.after = streams_confirmed_, .last = origins.last};
     const entry_report message{.open = callbacks_.open_requests(),
                                .document = config::newest_held(documents_),
                                .servers_fingerprint = list_.fingerprint,
                                .servers_age = now() - list_.read,
                                .entry_instances = entry_instances_,
                                .packed_suspicions = pack(local_scheduler_->suspicions(), now()),
-                               .packed_limits = pack(local_scheduler_->limits(true), now())};
+                               .packed_limits = pack(local_scheduler_->limits(true), now()),
+                               .packed_streams = pack(origins.list, now())};
     node_.ask(*target_, wire::topic::entry_report, pack(message, now()),
-              [self = shared_from_this(), from = *target_, reported = message.document,
+              [self = shared_from_this(), from = *target_, reported = message.document, streams,
                requested = now_with_suspension()](std::optional<wire::answer> answer) {
-                  asio::post(self->context_, [self, from, reported, requested,
+                  asio::post(self->context_, [self, from, reported, streams, requested,
                                               answer = std::move(answer)] {
-                      self->on_control_update(from, requested, read_update(answer, reported));
+                      self->on_control_update(from, requested, streams,
+                                              read_update(answer, reported));
                   });
               });
 }
@@ -337,6 +341,7 @@
 }
 
 void control_link::on_control_update(instance_id from, time_point requested,
+                                     const sent_streams& streams,
                                      const std::optional<control_update>& update) {
     if (!update) {
         if (now() - failure_logged_ >= failure_log_interval) {
@@ -367,6 +372,9 @@
         scheduler_last_seen_ = now();
         set_scheduler(from);
         target_ = from;
+        if (streams.after <= streams_confirmed_) {
+            streams_confirmed_ = std::max(streams_confirmed_, streams.last);
+        }
         return;
     }
     if (scheduler_ == from) {
@@ -383,6 +391,7 @@
         return;
     }
     scheduler_ = scheduler;
+    streams_confirmed_ = 0;
     telemetry::write(
         telemetry::log_line(scheduler ? "scheduler_found" : "scheduler_lost")
             .add("scheduler", scheduler ? settings::instance_address(*scheduler) : "own")
@@ -539,6 +548,20 @@
               [](std::optional<wire::answer>) {});
 }
 
+std::optional<software_id> control_link::find_stream(std::uint64_t stream) const {
+    return local_scheduler_->streams().find(stream, now());
+}
+
+bool control_link::has_several_versions(model_id service) const {
+    return local_scheduler_->streams().has_several(service, now());
+}
+
+std::optional<software_id> control_link::find_software(server_id server) const {
+    const auto found = std::find_if(list_.servers.begin(), list_.servers.end(),
+                                    [&](const auto& item) { return item.id == server; });
+    return found == list_.servers.end() ? std::nullopt : std::optional{config::software_of(*found)};
+}
+
 void control_link::query_local_scheduler(const pending_grant& pending) {
     local_scheduler_->ask(pending.work, pending.previous, pending.fate,
                           [self = shared_from_this(), id = pending.work.id,
--- a/src/gateway/grant_service.cpp
+++ b/src/gateway/grant_service.cpp
@@ -120,6 +120,16 @@
     }
 }
 
+void grant_service::record_own(const dispatch::stream_origin& origin) {
+    scheduler_.streams.record_begin(origin, true, now());
+}
+
+void grant_service::record(const std::vector<dispatch::stream_origin>& origins) {
+    for (const auto& item : origins) {
+        scheduler_.streams.record_begin(item, false, now());
+    }
+}
+
 void grant_service::log_limit(const dispatch::limit_statement& told) {
     constexpr double per_mille = 1e3;
     auto line = telemetry::log_line(told.per_second ? "server_limit" : "server_limit_ended");
@@ -187,6 +197,7 @@
     fresh.decisions.options = scheduler_.decisions.options;
     fresh.quotas = std::move(scheduler_.quotas);
     fresh.known_draining = std::move(scheduler_.known_draining);
+    fresh.streams = std::move(scheduler_.streams);
     fresh.decisions.backoffs = std::move(scheduler_.decisions.backoffs);
     fresh.decisions.limits_named = std::move(scheduler_.decisions.limits_named);
     fresh.decisions.suspects = std::move(scheduler_.decisions.suspects);
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -25,12 +25,6 @@
     return head.status == status_ok && head.header("Content-Type").starts_with("text/event-stream");
 }
 
-/// Whether another server may continue a stream after an event. A safe request may only be repeated
-/// as a whole: the events of two runs don't belong together.
-bool may_be_continued(const config::route& route) {
-    return route.kind == config::request_kind::streaming && route.resumable;
-}
-
 } // namespace
 
 void entry_instance::watch_caller(const request_ptr& request, http::exchange& with) {
@@ -123,7 +117,7 @@
 asio::awaitable<void> entry_instance::relay(request_ptr request, http::exchange& with) {
     auto previous = dispatch::previous_grant::none;
     auto last = attempt_end::not_connected;
-    if (may_be_continued(*request->route)) {
+    if (config::is_resumable(*request->route)) {
         request->last_event = request->caller.resume_after;
     }
     while (true) {
@@ -196,6 +190,9 @@
         co_return false;
     }
     const auto* given = std::get_if<dispatch::grant>(&*request->grant_result);
+    if (request->work.resumed_stream != 0 && previous == dispatch::previous_grant::none) {
+        record_take_up(*request);
+    }
     if (given == nullptr) {
         co_return false;
     }
@@ -274,7 +271,7 @@
     // Only a request that the server did not run, or that may run twice, may go to another server.
     const auto safe_to_repeat = last == attempt_end::not_executed || request.work.idempotent;
     const auto resumable =
-        !request.response_started || (may_be_continued(*request.route) && request.last_event);
+        !request.response_started || (config::is_resumable(*request.route) && request.last_event);
     return safe_to_repeat && resumable && request.attempts < request.route->max_attempts;
 }
 
--- a/src/gateway/relay_admission.cpp
+++ b/src/gateway/relay_admission.cpp
@@ -171,6 +171,25 @@
                         unconfirmed_retry_after, random_);
 }
 
+void entry_instance::fill_stream(relayed_request& request) {
+    auto& work = request.work;
+    const auto& caller = request.caller;
+    // Callers of one workspace can't claim the streams of another one.
+    const auto key = [&](const std::string& attempt) {
+        return hash_pair(work.workspace.value, hash_name(attempt));
+    };
+    work.stream = key(caller.name);
+    if (!caller.resume_after && caller.resumed_attempt.empty()) {
+        return;
+    }
+    work.resumed_stream = key(caller.resumed_attempt);
+    if (!caller.resumed_attempt.empty()) {
+        work.stream = work.resumed_stream;
+    }
+    work.software = link_->find_stream(work.resumed_stream).value_or(software_id{});
+    work.several_versions = link_->has_several_versions(work.model);
+}
+
 void entry_instance::fill_work(relayed_request& request) {
     auto& work = request.work;
     work.id = {.issuer = settings_.id, .issued_in = started_as_, .sequence = ++next_sequence_};
@@ -189,6 +208,9 @@
     work.blocks = blocks_of(request.caller.parts);
     work.prompt_parts = recognisable_parts(request);
     work.idempotent = config::is_idempotent(*request.route);
+    if (config::is_resumable(*request.route)) {
+        fill_stream(request);
+    }
     work.origin_domain = {hash_name(settings_.failure_domain)};
     if (const auto* service = request.catalogue->find_service(request.service)) {
         request.tokens_per_event = std::max(1U, service->tokens_per_event);
--- a/src/gateway/relay_answer.cpp
+++ b/src/gateway/relay_answer.cpp
@@ -177,9 +177,7 @@
                                const std::vector<http::stream_event>& events) {
     if (request->first_event_at == time_point{}) {
         request->first_event_at = now();
-        const dispatch::grant_update update{.id = request->work.id,
-                                            .kind = dispatch::grant_update::stage::first_token};
-        link_->record(update);
+        record_first_event(*request);
     }
     std::string bytes;
     for (const auto& event : events) {
--- a/src/gateway/relay_record.cpp
+++ b/src/gateway/relay_record.cpp
@@ -22,6 +22,24 @@
     return text.empty() ? "none" : text;
 }
 
+/// A software version that no server has.
+constexpr software_id unlisted_software{1};
+
+/// Returns what is known of the software version that a taken-up stream needs.
+std::string_view take_up_text(const relayed_request& request) {
+    const auto* refused = std::get_if<dispatch::refusal>(&*request.grant_result);
+    if (refused != nullptr && refused->why == reason::version_unknown) {
+        return "unknown";
+    }
+    if (refused != nullptr && refused->why == reason::no_server) {
+        return "absent";
+    }
+    if (request.work.software != software_id{}) {
+        return "known";
+    }
+    return refused != nullptr ? "refused" : request.work.several_versions ? "learned" : "only";
+}
+
 void log_server_lost(const relayed_request& request) {
     telemetry::write(telemetry::log_line("server_lost")
                          .add("id", request.caller.name)
@@ -46,6 +64,42 @@
     log_server_lost(*request);
 }
 
+void entry_instance::record_take_up(relayed_request& request) {
+    const auto version = take_up_text(request);
+    metrics_.count_stream_taken_up(version);
+    const auto* refused = std::get_if<dispatch::refusal>(&*request.grant_result);
+    const auto* given = std::get_if<dispatch::grant>(&*request.grant_result);
+    telemetry::write(telemetry::log_line("stream_taken_up")
+                         .add("id", request.caller.name)
+                         .add("resumes", request.caller.resumed_attempt.empty()
+                                             ? "none"
+                                             : request.caller.resumed_attempt)
+                         .add("version", version)
+                         .add("server", given != nullptr ? given->server_name : "none")
+                         .add("why", refused != nullptr ? to_string(refused->why) : "none"));
+    if (given != nullptr && given->software != software_id{}) {
+        request.work.software = given->software;
+    }
+}
+
+void entry_instance::record_first_event(relayed_request& request) {
+    dispatch::grant_update update{.id = request.work.id,
+                                  .kind = dispatch::grant_update::stage::first_token};
+    if (request.work.stream != 0) {
+        const auto& given = *request.current_grant;
+        auto& software = request.work.software;
+        software = given.software != software_id{}
+                       ? given.software
+                       : link_->find_software(given.server).value_or(unlisted_software);
+        const auto until = dispatch::take_up_end(request.work);
+        link_->record_stream({.stream = request.work.stream, .software = software, .until = until});
+        update.stream = request.work.stream;
+        update.software = software;
+        update.take_up_time = until - now();
+    }
+    link_->record(update);
+}
+
 void entry_instance::log_request_again(const relayed_request& request, std::string_view cause) {
     telemetry::write(telemetry::log_line("request_again")
                          .add("id", request.caller.name)
--- a/src/gateway/reports.cpp
+++ b/src/gateway/reports.cpp
@@ -50,6 +50,8 @@
 /// The same for whether a report's sender asks for parts of documents, and for the document that an
 /// update's sender holds.
 constexpr std::size_t document_parts_index = 12;
+/// The same for the origins of streams in reports.
+constexpr std::size_t streams_index = 13;
 
 dispatch::server_fate read_fate(const json& in) {
     const auto value = in.get<std::uint8_t>();
@@ -58,6 +60,13 @@
                : dispatch::server_fate::unknown;
 }
 
+/// Longest time for which callers may take up a stream; bounds what another instance states.
+constexpr duration max_take_up_time = std::chrono::minutes{10};
+
+duration read_take_up_time(const json& in) {
+    return std::clamp(duration{in.get<duration::rep>()}, duration{}, max_take_up_time);
+}
+
 json id_of(const request_id& id) {
     return json::array({id.issuer.value, id.issued_in.value, id.sequence});
 }
@@ -81,12 +90,12 @@
     for (const auto& [workspace, spans] : value.open.used) {
         used.push_back(json::array({workspace.value, spans}));
     }
-    return cbor::encode(
-        json::array({value.open.dispatcher.value, value.open.started_as.value, std::move(running),
-                     value.open.waiting, value.document.value, value.servers_fingerprint,
-                     std::move(used), value.servers_age.count(), value.entry_instances,
-                     value.open.uptime.count(), cbor::binary(value.packed_suspicions),
-                     cbor::binary(value.packed_limits), value.reads_document_parts}));
+    return cbor::encode(json::array(
+        {value.open.dispatcher.value, value.open.started_as.value, std::move(running),
+         value.open.waiting, value.document.value, value.servers_fingerprint, std::move(used),
+         value.servers_age.count(), value.entry_instances, value.open.uptime.count(),
+         cbor::binary(value.packed_suspicions), cbor::binary(value.packed_limits),
+         value.reads_document_parts, cbor::binary(value.packed_streams)}));
 }
 
 std::optional<entry_report> unpack_report(const std::string& bytes, time_point) {
@@ -127,6 +136,9 @@
         }
         value.reads_document_parts =
             in.size() > document_parts_index && in.at(document_parts_index).get<bool>();
+        if (in.size() > streams_index) {
+            value.packed_streams = cbor::bytes_of(in.at(streams_index));
+        }
         return value;
     });
 }
@@ -255,6 +267,34 @@
     });
 }
 
+std::string pack(const std::vector<dispatch::stream_origin>& value, time_point now) {
+    if (value.empty()) {
+        return {};
+    }
+    auto origins = json::array();
+    for (const auto& item : value) {
+        origins.push_back(
+            json::array({item.stream, item.software.value, (item.until - now).count()}));
+    }
+    return cbor::encode(origins);
+}
+
+std::optional<std::vector<dispatch::stream_origin>> unpack_streams(const std::string& bytes,
+                                                                   time_point now) {
+    if (bytes.empty()) {
+        return std::nullopt;
+    }
+    return read_cbor(bytes, [&](const json& in) {
+        std::vector<dispatch::stream_origin> value;
+        for (const auto& item : in) {
+            value.push_back({.stream = item.at(0).get<std::uint64_t>(),
+                             .software = {item.at(1).get<std::uint64_t>()},
+                             .until = now + read_take_up_time(item.at(2))});
+        }
+        return value;
+    });
+}
+
 std::string pack(const grant_request& value, time_point now) {
     return cbor::encode(json::array({static_cast<std::uint8_t>(value.previous),
                                      cbor::binary(wire::pack(value.work, now)),
@@ -295,8 +335,8 @@
 
 std::string pack(const dispatch::grant_result& value) {
     if (const auto* given = std::get_if<dispatch::grant>(&value)) {
-        return cbor::encode(
-            json::array({true, given->server.value, given->server_name, given->address}));
+        return cbor::encode(json::array({true, given->server.value, given->server_name,
+                                         given->address, given->software.value}));
     }
     const auto& refused = std::get<dispatch::refusal>(value);
     return cbor::encode(
@@ -306,9 +346,16 @@
 std::optional<dispatch::grant_result> unpack_grant_result(const std::string& bytes) {
     return read_cbor(bytes, [](const json& in) -> dispatch::grant_result {
         if (in.at(0).get<bool>()) {
-            return dispatch::grant{.server = {in.at(1).get<std::uint32_t>()},
-                                   .server_name = in.at(2).get<std::string>(),
-                                   .address = in.at(3).get<std::string>()};
+            constexpr std::size_t software_index =
+                4; // instances of an earlier version don't send it
+            dispatch::grant given;
+            given.server = {in.at(1).get<std::uint32_t>()};
+            given.server_name = in.at(2).get<std::string>();
+            given.address = in.at(3).get<std::string>();
+            if (in.size() > software_index) {
+                given.software = {in.at(software_index).get<std::uint64_t>()};
+            }
+            return given;
         }
         return dispatch::refusal{.why = static_cast<reason>(in.at(1).get<std::uint8_t>()),
                                  .retry_after = duration{in.at(2).get<std::int64_t>()}};
@@ -316,9 +363,10 @@
 }
 
 std::string pack(const dispatch::grant_update& value) {
-    return cbor::encode(json::array({id_of(value.id), static_cast<std::uint8_t>(value.kind),
-                                     value.generated.value, value.server_fault, value.server_lost,
-                                     static_cast<std::uint8_t>(value.fate)}));
+    return cbor::encode(
+        json::array({id_of(value.id), static_cast<std::uint8_t>(value.kind), value.generated.value,
+                     value.server_fault, value.server_lost, static_cast<std::uint8_t>(value.fate),
+                     value.stream, value.software.value, value.take_up_time.count()}));
 }
 
 std::optional<dispatch::grant_update> unpack_grant_update(const std::string& bytes) {
@@ -334,6 +382,12 @@
         if (in.size() > fate_index) {
             value.fate = read_fate(in.at(fate_index));
         }
+        constexpr std::size_t stream_index = 6;
+        if (in.size() > stream_index) {
+            value.stream = in.at(stream_index).get<std::uint64_t>();
+            value.software = {in.at(stream_index + 1).get<std::uint64_t>()};
+            value.take_up_time = read_take_up_time(in.at(stream_index + 2));
+        }
         return value;
     });
 }
--- a/src/routing/server_model.cpp
+++ b/src/routing/server_model.cpp
@@ -43,9 +43,14 @@
     model.slots_are_exact = description.slots_are_exact;
     model.listed_slots = std::max(1U, description.slots);
     model.started_at_ms = description.started_at_ms;
+    model.software = config::software_of(description);
     return model;
 }
 
+bool may_get(const server_model& server, const work_item& work) noexcept {
+    return work.software == software_id{} || work.software == server.software;
+}
+
 prediction predict(const server_model& server, const work_item& work, token_count output) {
     prediction result;
     // Concurrent requests slow a request down, so the less loaded of equal servers is preferred.
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -84,6 +84,9 @@
       document_bytes_(&counter_family(*registry_, "tarragonspar_document_bytes_sent_total",
                                       "Bytes of documents sent to other instances")
                            ->Add({})),
+      streams_taken_up_(
+          counter_family(*registry_, "tarragonspar_streams_taken_up_total",
+                         "Streams that callers take up, by what is known of their version")),
       max_workspaces_(max_workspaces) {}
 
 std::string metrics::workspace_label(const std::string& workspace) {
@@ -188,6 +191,10 @@
     document_bytes_->Increment(static_cast<double>(bytes));
 }
 
+void metrics::count_stream_taken_up(std::string_view version) {
+    streams_taken_up_->Add({{"version", std::string(version)}}).Increment();
+}
+
 std::string metrics::expose() const {
     return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -112,6 +112,10 @@
     out.setMaxOutputTokens(value.max_output.value);
     out.setIdempotent(value.idempotent);
     out.setRepeated(value.repeated);
+    out.setStream(value.stream);
+    out.setResumedStream(value.resumed_stream);
+    out.setSoftware(value.software.value);
+    out.setSeveralVersions(value.several_versions);
     out.setTransfers(value.transfers);
     auto avoid = out.initAvoid(static_cast<unsigned>(value.avoid.size()));
     for (unsigned i = 0; i < avoid.size(); ++i) {
@@ -146,6 +150,10 @@
     value.max_output = {in.getMaxOutputTokens()};
     value.idempotent = in.getIdempotent();
     value.repeated = in.getRepeated();
+    value.stream = in.getStream();
+    value.resumed_stream = in.getResumedStream();
+    value.software = {in.getSoftware()};
+    value.several_versions = in.getSeveralVersions();
     value.transfers = in.getTransfers();
     for (const auto id : in.getAvoid()) {
         value.avoid.push_back({id});
--- a/tests/deployment_fixture.hpp
+++ b/tests/deployment_fixture.hpp
@@ -193,15 +193,23 @@
     /// @param name  listed instead of the server's own name, so that one may stand for several
     void add_server(const scripted_server& server, const std::string& service,
                     const std::string& state = "ready", const std::string& name = {},
-                    std::size_t slots = 4) {
+                    std::size_t slots = 4, const std::string& version = "v1") {
         const std::lock_guard lock(mutex_);
         listed_.push_back({{"id", name.empty() ? server.name() : name},
                            {"service", service},
                            {"address", server.address()},
                            {"zone", "a"},
+                           {"version", version},
                            {"slots", slots},
                            {"state", state}});
     }
+    /// Takes a server off the list.
+    void remove_server(const scripted_server& server) {
+        const std::lock_guard lock(mutex_);
+        for (auto at = listed_.begin(); at != listed_.end();) {
+            at = (*at)["id"] == server.name() ? listed_.erase(at) : at + 1;
+        }
+    }
 
     void start() {
         for (std::size_t i = 0; i < controls_.size(); ++i) {
