A status outside 100 to 599 is no answer

A server in trouble sent statuses such as 600 or 999; they were passed on as answers, on safe, unsafe and streaming routes. (000 and 099 were 502 already: they were taken for interim answers.)

Cause: any three digits from 200 on counted as a final status.

Change: such a head ends the attempt like bytes that are no HTTP, in the relay and in the engine client. The request may have run: 502, or another server where it may be repeated.

Tests: FaultyServer.AnAnswerWhoseStatusIsNoneOfHttpIsNotForwarded and a row of AnAnswerOfAnEngineOrServiceCutAtAnyByteIsNotAnswered failed before. AnEarlyAnswerWithoutLengthThatIsResetIsNotForwardedAsComplete guards what held already: no part of an early answer that is reset while a 3 MB upload runs is passed on as complete.

--- a/include/tarragonspar/http/backend_call.hpp
+++ b/include/tarragonspar/http/backend_call.hpp
@@ -74,8 +74,8 @@
               std::shared_ptr<const std::string> body);
 
     /// @brief Reads status and headers; skips interim responses.
-    /// @return nothing if the connection is lost, the bytes are not valid HTTP, or the head exceeds
-    /// its bounds in bytes, time or interim responses
+    /// @return nothing if the connection is lost, the bytes are not valid HTTP, the status is none
+    /// of HTTP's, or the head exceeds its bounds in bytes, time or interim responses
     boost::asio::awaitable<std::optional<answer_head>> read_head();
 
     /// @brief Waits for and returns the next part of the body. Chunk extensions and trailers are
@@ -111,6 +111,10 @@
     bool lost_{false};
 };
 
+/// @brief Whether a status code is one of HTTP's classes, 100 to 599. A response with another one
+/// is no answer (RFC 9110, section 15).
+[[nodiscard]] bool is_valid_status(unsigned status) noexcept;
+
 /// @brief Whether a header is hop-by-hop and must not be forwarded.
 [[nodiscard]] bool is_hop_header(std::string_view name) noexcept;
 
--- a/src/http/backend_call.cpp
+++ b/src/http/backend_call.cpp
@@ -69,6 +69,12 @@
     return !coding.empty() && !beast::iequals(coding, "chunked");
 }
 
+bool is_valid_status(unsigned status) noexcept {
+    constexpr unsigned first = 100;
+    constexpr unsigned last = 599;
+    return status >= first && status <= last;
+}
+
 std::string answer_head::header(std::string_view name) const {
     for (const auto& [known, value] : headers) {
         if (beast::iequals(known, beast::string_view(name.data(), name.size()))) {
@@ -164,7 +170,8 @@
     bool is_final = false;
     for (int interim = 0; !is_final; ++interim) {
         const bool read = co_await read_one_head();
-        if (!read || interim > options_.max_interim_responses) {
+        if (!read || interim > options_.max_interim_responses ||
+            !is_valid_status(parser_->get().result_int())) {
             co_return std::nullopt;
         }
         is_final = parser_->get().result_int() >= first_final;
--- a/src/http/engine_client.cpp
+++ b/src/http/engine_client.cpp
@@ -364,6 +364,10 @@
         co_return;
     }
     auto response = parser->release();
+    if (!is_valid_status(response.result_int())) {
+        co_await report_unknown(callbacks, reason::answer_corrupted);
+        co_return;
+    }
     answer_event start{
         answer_started{.server = request.server,
                        .status = response.result_int(),
--- a/tests/deployment_fixture.hpp
+++ b/tests/deployment_fixture.hpp
@@ -26,8 +26,9 @@
     /// returns.
     using script = std::function<void(const received_request&, asio::ip::tcp::socket&)>;
 
-    scripted_server(std::string name, script answer)
-        : name_(std::move(name)), answer_(std::move(answer)),
+    /// @param reads_body  whether it reads the whole request before it answers
+    scripted_server(std::string name, script answer, bool reads_body = true)
+        : name_(std::move(name)), answer_(std::move(answer)), reads_body_(reads_body),
           acceptor_(context_, {asio::ip::make_address("127.0.0.1"), 0}),
           endpoint_(acceptor_.local_endpoint()) {
         thread_ = std::thread([this] { run(); });
@@ -92,12 +93,17 @@
 
     void serve(asio::ip::tcp::socket& socket) {
         boost::beast::flat_buffer buffer;
-        beast_http::request<beast_http::string_body> request;
+        beast_http::request_parser<beast_http::string_body> parser;
         boost::system::error_code error;
-        beast_http::read(socket, buffer, request, error);
+        if (reads_body_) {
+            beast_http::read(socket, buffer, parser, error);
+        } else {
+            beast_http::read_header(socket, buffer, parser, error);
+        }
         if (error) {
             return;
         }
+        const auto& request = parser.get();
         received_request received;
         received.start = std::string(request.method_string()) + " " + std::string(request.target());
         for (const auto& field : request) {
@@ -113,6 +119,7 @@
 
     std::string name_;
     script answer_;
+    bool reads_body_;
     asio::io_context context_;
     asio::ip::tcp::acceptor acceptor_;
     const asio::ip::tcp::endpoint endpoint_;
--- a/tests/unit-deployment_faulty_server.cpp
+++ b/tests/unit-deployment_faulty_server.cpp
@@ -269,6 +269,67 @@
     EXPECT_EQ(got.headers.at("Response-Signature"), "sig");
 }
 
+// MIXED: statuses of 600 and above were passed on.
+TEST(FaultyServer, AnAnswerWhoseStatusIsNoneOfHttpIsNotForwarded) {
+    std::atomic<int> status{0};
+    std::atomic<bool> is_stream{false};
+    const scripted_server server(
+        "i-1", [&](const received_request&, asio::ip::tcp::socket& socket) {
+            auto digits = std::to_string(status);
+            digits.insert(0, 3 - digits.size(), '0');
+            const auto text = digits + " Odd";
+            const auto type = is_stream ? "Content-Type: text/event-stream\r\n" : "";
+            write_raw(socket, answer(text, own + "Response-Signature: s\r\n" + type, pieces(1, 2)));
+        });
+    platform_deployment d;
+    d.add_server(server, "s");
+    d.start_with(make_manifest(1));
+    for (const auto value : {0, 1, 99, 600, 700, 999}) {
+        status = value;
+        for (const auto streams : {false, true}) {
+            is_stream = streams;
+            for (const std::string route : {"/safe/x", "/unsafe/x", "/resumable/x", "/once/x"}) {
+                const auto got = d.call_with_headers("POST", route, "b");
+                EXPECT_TRUE(got.complete) << value << " " << route;
+                EXPECT_TRUE(got.status == 502 || got.status == 503)
+                    << value << " " << route << ": " << got.status;
+                EXPECT_EQ(got.body.find("piece"), std::string::npos) << value << " " << route;
+            }
+        }
+    }
+}
+
+// MIXED: such a part must not be taken for the whole answer, which ends with its connection.
+TEST(FaultyServer, AnEarlyAnswerWithoutLengthThatIsResetIsNotForwardedAsComplete) {
+    std::atomic<int> pause_ms{0};
+    std::atomic<bool> is_stream{false};
+    const scripted_server server(
+        "i-1",
+        [&](const received_request&, asio::ip::tcp::socket& socket) {
+            write_raw(socket, is_stream ? unframed_stream(pieces(1, 2))
+                                        : "HTTP/1.1 200 OK\r\n" + own +
+                                              "Response-Signature: s\r\n\r\npart of the body");
+            std::this_thread::sleep_for(std::chrono::milliseconds{pause_ms});
+            reset(socket);
+        },
+        false);
+    platform_deployment d;
+    d.add_server(server, "s");
+    d.start_with(make_manifest(1));
+    const std::string upload(3 * 1024 * 1024, 'u'); // more than sockets buffer
+    for (const auto pause : {2, 60}) {
+        pause_ms = pause;
+        for (const std::string route : {"/safe/x", "/unsafe/x", "/resumable/x", "/once/x"}) {
+            for (const auto streams : {false, true}) {
+                is_stream = streams;
+                const auto got = d.call_with_headers("POST", route, upload);
+                EXPECT_FALSE(got.complete && got.status == 200)
+                    << route << " " << pause << ": " << got.body.substr(0, 40);
+            }
+        }
+    }
+}
+
 TEST(FaultyServer, AStreamWithoutLengthIsCompleteOnlyIfItEndsAfterAnEvent) {
     const auto two = pieces(1, 2);
     expect_results({"once"},
@@ -404,6 +465,7 @@
              {answer("200 OK", "", "whole"), "200 whole, complete", true},
              {interims + answer("200 OK", "", "whole"), "200 whole, complete", true},
              {answer("204 None", "", ""), "204 , complete", true},
+             {answer("600 Odd", "", "whole"), ", unknown", true},
              {rejection, "400 error text, complete", false},
              {interims + rejection, "400 error text, complete", false},
              {events, "200 t0t1, complete", false},
