Asking for another server leaves the one that runs counted

While another server was asked for under the running request's id, the scheduler counted the running one no longer: its place went to a queued request although it was still working, and the first event that arrived meanwhile removed the question, so that a later grant kept a place until the stream's end.

Change: the question is a request of its own, without quota units, that reports name as waiting. The running one stays counted until it is left, which is reported as a failure then. The granted server is used only if the stream is still repeatable and its software version fits what has arrived meanwhile. Each silence may ask once, also after an earlier one; the retry that isn't used is the one that is returned.

Test: Deployment.APlaceAskedForIsFreeAgainAfterTheQuietServerWentOn.

--- a/include/tarragonspar/admission/retry_allowance.hpp
+++ b/include/tarragonspar/admission/retry_allowance.hpp
@@ -38,7 +38,8 @@
 [[nodiscard]] bool acquire_retry(retry_allowance& target, const std::string& service,
                                  time_point now);
 
-/// @brief Returns the permission that was acquired last, if the retry was not sent.
-void return_retry(retry_allowance& target, const std::string& service);
+/// @brief Returns a permission for a retry that was not sent.
+/// @param acquired  when it was acquired; the newest one before that is returned
+void return_retry(retry_allowance& target, const std::string& service, time_point acquired);
 
 } // namespace tarragonspar::admission
--- a/include/tarragonspar/gateway/entry_instance.hpp
+++ b/include/tarragonspar/gateway/entry_instance.hpp
@@ -99,7 +99,10 @@
     void on_failover_result(const request_ptr& request, const dispatch::grant_result& result);
     /// @brief Moves a request whose server was quiet to the server that was granted instead.
     /// @return whether the request has a new grant
-    [[nodiscard]] bool fail_over(relayed_request& request, attempt_end last);
+    [[nodiscard]] bool fail_over(const request_ptr& request, attempt_end last);
+    void withdraw_failover(relayed_request& request);
+    /// @brief Returns the software version of a granted server; 0: the list gives none.
+    [[nodiscard]] software_id version_of(const dispatch::grant& given) const;
     static void log_quiet(const relayed_request& request, std::string_view event);
     static void log_request_again(const relayed_request& request, std::string_view cause);
     /// @brief Records what the granted server says of itself in its answer to a request.
--- a/include/tarragonspar/gateway/relayed_request.hpp
+++ b/include/tarragonspar/gateway/relayed_request.hpp
@@ -46,12 +46,15 @@
     boost::asio::steady_timer wakeup;         ///< cancelled when one of the members below changes
     boost::asio::steady_timer deadline_timer; ///< ends the request at its deadline
     boost::asio::steady_timer stall_timer;    ///< ends an attempt that makes no progress
-    time_point last_progress{};   ///< time of the last event, or of the start of the attempt
-    duration stall_timeout{};     ///< time without progress after which the attempt is aborted
-    duration failover_after{};    ///< time without progress after which another server is asked for
-    bool failover_asked{false};   ///< another server was asked for since the last event
-    bool failover_pending{false}; ///< that request has no result yet
+    time_point last_progress{}; ///< time of the last event, or of the start of the attempt
+    duration stall_timeout{};   ///< time without progress after which the attempt is aborted
+    duration failover_after{};  ///< time without progress after which another server is asked for
+    /// Time of the last event at the moment when another server was last asked for.
+    std::optional<time_point> failover_asked_in;
+    /// Id of the request for another server, until it is refused, withdrawn or used.
+    std::optional<request_id> failover_id;
     std::optional<dispatch::grant> failover_grant; ///< the other server
+    time_point failover_retry_at{};                ///< when its retry was acquired
     duration longest_gap{}; ///< longest time between two events of the answer
     std::optional<dispatch::grant_result> grant_result;
     bool caller_gone{false}; ///< the caller closed its connection
--- a/src/admission/retry_allowance.cpp
+++ b/src/admission/retry_allowance.cpp
@@ -1,6 +1,7 @@
 #include "tarragonspar/admission/retry_allowance.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace tarragonspar::admission {
 
@@ -39,10 +40,11 @@
     return true;
 }
 
-void return_retry(retry_allowance& target, const std::string& service) {
+void return_retry(retry_allowance& target, const std::string& service, time_point acquired) {
     auto& retries = target.services[service].retries;
-    if (!retries.empty()) {
-        retries.pop_back();
+    const auto after = std::upper_bound(retries.begin(), retries.end(), acquired);
+    if (after != retries.begin()) {
+        retries.erase(std::prev(after));
     }
 }
 
--- a/src/dispatch/grant_scheduler.cpp
+++ b/src/dispatch/grant_scheduler.cpp
@@ -27,7 +27,7 @@
 void record_origin(grant_scheduler& target, const start_dispatch& start, software_id software,
                    time_point now) {
     const auto& work = target.decisions.running.at(start.id).work;
-    if (work.stream != 0) {
+    if (work.stream != 0 && software != software_id{}) {
         target.streams.record_grant(
             {.stream = work.stream, .software = software, .until = take_up_end(work)}, now);
     }
@@ -226,7 +226,7 @@
                                          .retry_after = version_retry_after}});
         return;
     }
-    if (previous == previous_grant::none) {
+    if (previous == previous_grant::none && !work.repeated) {
         const auto wait = admission::acquire(target.quotas, make_quota_request(work), now);
         if (wait > duration{}) {
             out.push_back({.id = work.id,
@@ -253,7 +253,7 @@
         release_requests(target, {update.id}, now, out);
         return;
     case grant_update::stage::first_token:
-        if (update.stream != 0) {
+        if (update.stream != 0 && update.software != software_id{}) {
             target.streams.record_begin({.stream = update.stream,
                                          .software = update.software,
                                          .until = now + update.take_up_time},
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -245,6 +245,9 @@
         } else {
             report.waiting.push_back(sequence);
         }
+        if (request->failover_id) {
+            report.waiting.push_back(request->failover_id->sequence);
+        }
     }
     return report;
 }
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -133,7 +133,7 @@
             request->call->close();
             request->call.reset();
         }
-        if (fail_over(*request, last)) {
+        if (fail_over(request, last)) {
             continue;
         }
         const auto retry = request->retry_allowed || may_retry(*request, last);
--- a/src/gateway/relay_progress.cpp
+++ b/src/gateway/relay_progress.cpp
@@ -37,12 +37,13 @@
     request->failover_after = callers_wait / failover_divisor;
     request->stall_timeout = callers_wait + departure_time;
     request->last_progress = now();
-    request->failover_asked = false;
+    request->failover_asked_in.reset();
     await_progress(request);
 }
 
 void entry_instance::await_progress(const request_ptr& request) {
-    const auto next = request->failover_asked ? request->stall_timeout : request->failover_after;
+    const auto asked = request->failover_asked_in == request->last_progress;
+    const auto next = asked ? request->stall_timeout : request->failover_after;
     request->stall_timer.expires_after(request->last_progress + next - now());
     request->stall_timer.async_wait([this, request](boost::system::error_code error) {
         if (!error && request->call) {
@@ -58,25 +59,29 @@
         request->call->close();
         return;
     }
-    const auto is_quiet = quiet >= request->failover_after;
-    if (is_quiet && !request->failover_asked) {
+    const auto asked = request->failover_asked_in == request->last_progress;
+    if (quiet >= request->failover_after && !asked) {
+        request->failover_asked_in = request->last_progress;
         request_failover(request);
     }
-    request->failover_asked = is_quiet;
     await_progress(request);
 }
 
 void entry_instance::request_failover(const request_ptr& request) {
-    if (request->failover_pending || !is_repeatable(*request, attempt_end::failed) ||
+    if (request->failover_id || !is_repeatable(*request, attempt_end::failed) ||
         !admission::acquire_retry(retries_, request->service, now())) {
         return;
     }
     log_quiet(*request, "server_quiet");
-    request->failover_pending = true;
+    request->failover_retry_at = now();
     auto work = request->work;
-    work.avoid.push_back(request->current_grant->server);
+    // A request of its own for the scheduler, which goes on counting the one that runs.
+    work.id.sequence = ++next_sequence_;
+    work.quota_units = 0;
     work.repeated = true;
-    link_->ask(work, dispatch::previous_grant::server_failed, dispatch::server_fate::unknown,
+    work.avoid.push_back(request->current_grant->server);
+    request->failover_id = work.id;
+    link_->ask(work, dispatch::previous_grant::none, dispatch::server_fate::unknown,
                [this, request](const dispatch::grant_result& result) {
                    on_failover_result(request, result);
                });
@@ -84,7 +89,6 @@
 
 void entry_instance::on_failover_result(const request_ptr& request,
                                         const dispatch::grant_result& result) {
-    request->failover_pending = false;
     const auto* given = std::get_if<dispatch::grant>(&result);
     const auto still_quiet = request->call && !request->is_over() &&
                              now() - request->last_progress >= request->failover_after;
@@ -95,11 +99,12 @@
         request->call->close();
         return;
     }
-    admission::return_retry(retries_, request->service);
     if (given != nullptr) {
-        link_->record({.id = request->work.id, .kind = dispatch::grant_update::stage::withdrawn});
+        withdraw_failover(*request);
         return;
     }
+    request->failover_id.reset();
+    admission::return_retry(retries_, request->service, request->failover_retry_at);
     telemetry::write(telemetry::log_line("quiet_server_kept")
                          .add("id", request->caller.name)
                          .add("server", request->current_grant->server_name)
@@ -107,22 +112,41 @@
                          .add("quiet_ms", to_milliseconds(now() - request->last_progress)));
 }
 
-bool entry_instance::fail_over(relayed_request& request, attempt_end last) {
-    const auto given = std::exchange(request.failover_grant, std::nullopt);
-    const auto was_pending = std::exchange(request.failover_pending, false);
-    if (!given && !was_pending) {
+void entry_instance::withdraw_failover(relayed_request& request) {
+    link_->record({.id = *request.failover_id, .kind = dispatch::grant_update::stage::withdrawn});
+    request.failover_id.reset();
+    request.failover_grant.reset();
+    admission::return_retry(retries_, request.service, request.failover_retry_at);
+}
+
+bool entry_instance::fail_over(const request_ptr& request, attempt_end last) {
+    if (!request->failover_id) {
         return false;
     }
-    if (!given || last != attempt_end::failed || request.is_over()) {
-        link_->record({.id = request.work.id, .kind = dispatch::grant_update::stage::withdrawn});
-        admission::return_retry(retries_, request.service);
+    const auto given = request->failover_grant;
+    // The server may have sent events after the other one was asked for.
+    const auto fits = given && (request->work.software == software_id{} ||
+                                request->work.software == version_of(*given));
+    if (!fits || last != attempt_end::failed || !is_repeatable(*request, last)) {
+        withdraw_failover(*request);
         return false;
     }
-    request.work.avoid.push_back(request.current_grant->server);
-    log_request_again(request, "server_quiet");
-    request.current_grant = given;
-    request.granted_at = now();
-    request.granted_locally = !link_->has_leader();
+    if (std::exchange(request->retry_allowed, false)) {
+        admission::return_retry(retries_, request->service, now());
+    }
+    log_request_again(*request, "server_quiet");
+    link_->record({.id = request->work.id,
+                   .kind = dispatch::grant_update::stage::failed,
+                   .server_fault = true});
+    request->work.avoid.push_back(request->current_grant->server);
+    open_requests_.erase(request->work.id.sequence);
+    request->work.id = *request->failover_id;
+    open_requests_.emplace(request->work.id.sequence, request);
+    request->current_grant = given;
+    request->granted_at = now();
+    request->granted_locally = !link_->has_leader();
+    request->failover_id.reset();
+    request->failover_grant.reset();
     return true;
 }
 
--- a/src/gateway/relay_record.cpp
+++ b/src/gateway/relay_record.cpp
@@ -86,20 +86,29 @@
     dispatch::grant_update update{.id = request.work.id,
                                   .kind = dispatch::grant_update::stage::first_token};
     if (request.work.stream != 0) {
-        const auto& given = *request.current_grant;
-        auto& software = request.work.software;
-        software = given.software != software_id{}
-                       ? given.software
-                       : link_->find_software(given.server).value_or(unlisted_software);
+        request.work.software = version_of(*request.current_grant);
+    }
+    if (request.work.stream != 0 && request.work.software != software_id{}) {
         const auto until = dispatch::take_up_end(request.work);
-        link_->record_stream({.stream = request.work.stream, .software = software, .until = until});
+        link_->record_stream(
+            {.stream = request.work.stream, .software = request.work.software, .until = until});
         update.stream = request.work.stream;
-        update.software = software;
+        update.software = request.work.software;
         update.take_up_time = until - now();
     }
     link_->record(update);
 }
 
+software_id entry_instance::version_of(const dispatch::grant& given) const {
+    if (given.software != software_id{}) {
+        return given.software;
+    }
+    // The leader may be of an earlier version. No other server may continue the stream of one whose
+    // version is not known.
+    const auto unknown = link_->has_versions() ? unlisted_software : software_id{};
+    return link_->find_software(given.server).value_or(unknown);
+}
+
 void entry_instance::log_request_again(const relayed_request& request, std::string_view cause) {
     telemetry::write(telemetry::log_line("request_again")
                          .add("id", request.caller.name)
--- a/tests/unit-deployment_stream.cpp
+++ b/tests/unit-deployment_stream.cpp
@@ -199,6 +199,50 @@
     }
 }
 
+// The place that was asked for meanwhile must not stay taken when the quiet server goes on.
+TEST(Deployment, APlaceAskedForIsFreeAgainAfterTheQuietServerWentOn) {
+    std::atomic<bool> busy_over{false};
+    std::atomic<bool> went_on{false};
+    std::atomic<bool> quiet_over{false};
+    const auto script = [&](const received_request& request, asio::ip::tcp::socket& socket) {
+        write_raw(socket, stream_head(request, "sig"));
+        const auto is_quiet = request.start.ends_with("/quiet");
+        const auto& over = is_quiet ? quiet_over : busy_over;
+        if (is_quiet) {
+            std::this_thread::sleep_for(std::chrono::milliseconds{1'500});
+        }
+        for (int id = 1; !over; ++id) {
+            write_raw(socket, chunk(event_text(id)));
+            went_on = went_on || is_quiet;
+            std::this_thread::sleep_for(std::chrono::milliseconds{50});
+        }
+        write_raw(socket, chunk(event_text(1'000)) + "0\r\n\r\n");
+    };
+    const scripted_server one("i-1", script);
+    const scripted_server two("i-2", script);
+    platform_deployment d;
+    d.add_server(one, "s", "ready", {}, 1);
+    d.add_server(two, "s", "ready", {}, 1);
+    d.start_with(make_manifest(1));
+    const auto arrivals = [&] { return one.seen().size() + two.seen().size(); };
+    const auto call = [&](const std::string& target) {
+        return std::async(std::launch::async, [&d, target] {
+            return d.call("POST", "/resumable/" + target, "b", {}).status;
+        });
+    };
+    auto busy = call("busy");
+    ASSERT_TRUE(wait_until([&] { return arrivals() == 1; }));
+    auto quiet = call("quiet");
+    ASSERT_TRUE(wait_until([&] { return went_on.load(); }));
+    busy_over = true;
+    EXPECT_EQ(busy.get(), 200U);
+    EXPECT_EQ(d.call("POST", "/resumable/next", "b", {}).status, 200U);
+    EXPECT_FALSE(quiet_over);
+    quiet_over = true;
+    EXPECT_EQ(quiet.get(), 200U);
+    EXPECT_EQ(arrivals(), 3U) << "nothing was sent twice";
+}
+
 TEST(Deployment, AStalledStreamThatMayNotBeResumedIsAborted) {
     // In total longer than callers wait between two events.
     constexpr int heartbeats = 200;
