Requests that continue neither block each other nor are shed by forecasts

Found by the review, by reading. (a) The four earliest requests of a rank that continue were the only candidates: when they waited for one version's full servers, those of another version waited beside idle ones. (b) The forecast that sheds work of the last tier could pick a costly one for the sake of a new request, and predictions for the whole answer were applied to what is left of it. (c) Their work counted as a wait of new requests, which don't wait for it.

Change: at most two candidates for each software version; no forecast sheds a request that continues; its work isn't counted for new ones.

Tests: GrantScheduler.StreamsThatWaitForOneVersionLeaveTheOtherToItsOwn and AStreamThatGoesOnIsNotShedForNewRequests.

--- a/include/tarragonspar/admission/tier_queue.hpp
+++ b/include/tarragonspar/admission/tier_queue.hpp
@@ -99,7 +99,7 @@
     [[nodiscard]] std::size_t size(tier which) const noexcept;
 
     /// @brief Returns the predicted work, in seconds, of the items up to and including a tier,
-    /// which would be served before a new request of that tier.
+    /// which would be served before a new request of that tier, without those that continue.
     [[nodiscard]] double work_ahead(tier which) const noexcept;
 
     /// @brief Returns the number of workspaces with state, waiting or recently served.
@@ -131,6 +131,8 @@
     [[nodiscard]] static constexpr std::size_t first_level(tier which) noexcept {
         return std::size_t{which.value} * rank_count;
     }
+    void collect_continuing(const priority_level& level, std::size_t limit,
+                            std::vector<const queued_item*>& out) const;
     enum class selection : std::uint8_t { continuing, on_time, late };
     void collect(const priority_level& level, selection which, std::size_t limit, time_point now,
                  std::vector<const queued_item*>& out) const;
--- a/src/admission/tier_queue.cpp
+++ b/src/admission/tier_queue.cpp
@@ -11,9 +11,13 @@
 
 /// Separates the requests that continue, by deadline, from all others, which come after them.
 constexpr time_point first_due_of_new{duration::min() / 2};
-/// Divides the number of candidates. No more than the quotient may be requests of one rank that
-/// continue, since those may wait for a few servers only, while others are free.
-constexpr std::size_t continuing_divisor = 3;
+/// Candidates of one rank that continue and need the same software version, or any. They may wait
+/// for a few servers only, while others are free.
+constexpr std::size_t max_continuing_alike = 2;
+/// Divides the number of candidates. The quotient bounds the requests of one rank that continue.
+constexpr std::size_t continuing_divisor = 2;
+/// Requests of one rank that continue among which the candidates are found.
+constexpr std::size_t max_continuing_visited = 64;
 
 /// Returns the time that a request is ordered by: its latency objective if it has one, else its
 /// deadline. The objective of a request that continues was for the beginning of its answer.
@@ -24,6 +28,12 @@
     return work.objective == time_point{} ? work.deadline : work.objective;
 }
 
+/// Returns an item's part of the work that new requests wait for. Requests that continue are few
+/// and often need servers that new ones can do without.
+double new_work_seconds(const queued_item& item) {
+    return continues(item.work) ? 0.0 : item.cost_seconds;
+}
+
 std::size_t level_of(const work_item& work) {
     return std::size_t{work.urgency.value} * rank_count + work.rank.value;
 }
@@ -41,7 +51,7 @@
     const auto& stored = items_.emplace(item.work.id, item).first->second;
     flow_state.order.emplace(key, &stored);
     level.order.emplace(key, &stored);
-    level.work_seconds += item.cost_seconds;
+    level.work_seconds += new_work_seconds(item);
     deadlines_.emplace(deadline_key{item.work.deadline, item.work.id}, &stored);
 }
 
@@ -52,7 +62,7 @@
     flow_state.order.erase(key);
     level.order.erase(key);
     deadlines_.erase({item.work.deadline, item.work.id});
-    level.work_seconds = level.order.empty() ? 0.0 : level.work_seconds - item.cost_seconds;
+    level.work_seconds = level.order.empty() ? 0.0 : level.work_seconds - new_work_seconds(item);
     if (flow_state.order.empty()) {
         level.backlogged.erase({flow_state.virtual_time, item.work.workspace});
         evict_idle_flows(level);
@@ -185,6 +195,21 @@
     }
 }
 
+void tier_queue::collect_continuing(const priority_level& level, std::size_t limit,
+                                    std::vector<const queued_item*>& out) const {
+    std::vector<const queued_item*> all;
+    collect(level, selection::continuing, max_continuing_visited, time_point::min(), all);
+    std::map<software_id, std::size_t> alike;
+    for (const auto* item : all) {
+        if (out.size() >= limit) {
+            return;
+        }
+        if (++alike[item->work.software] <= max_continuing_alike) {
+            out.push_back(item);
+        }
+    }
+}
+
 std::vector<const queued_item*> tier_queue::candidates(tier max_tier, std::size_t limit,
                                                        time_point now) const {
     std::vector<const queued_item*> out;
@@ -193,8 +218,8 @@
         for (std::size_t rank = 0; rank <= rank_count; ++rank) {
             if (rank < rank_count) {
                 const auto& level = levels_.at(first_level({urgency}) + rank);
-                collect(level, selection::continuing,
-                        std::min(limit, out.size() + limit / continuing_divisor), now, out);
+                collect_continuing(level, std::min(limit, out.size() + limit / continuing_divisor),
+                                   out);
                 collect(level, selection::on_time, limit, now, out);
             }
             if (rank > 0) {
--- a/src/dispatch/placing.cpp
+++ b/src/dispatch/placing.cpp
@@ -277,8 +277,8 @@
     if (is_better_to_wait(target, work, best.first_token, now)) {
         return nullptr;
     }
-    if (!target.options.refuse_infeasible || !routing::has_speed_estimate(*chosen) ||
-        routing::is_estimate_unverified(*chosen, now)) {
+    if (!target.options.refuse_infeasible || continues(work) ||
+        !routing::has_speed_estimate(*chosen) || routing::is_estimate_unverified(*chosen, now)) {
         return chosen;
     }
     // Most answers are shorter than the cautious prediction, so a request is held back only if even
--- a/src/dispatch/shedding.cpp
+++ b/src/dispatch/shedding.cpp
@@ -57,6 +57,9 @@
 
 /// Whether the deadline is too close even for an idle server with a warm cache.
 bool is_unattainable(const scheduler& source, const work_item& work, time_point now) {
+    if (continues(work)) {
+        return false; // predictions are for the whole answer
+    }
     const auto output =
         source.lengths.predict(work.profile, work.workspace, work.max_output, optimistic_quantile);
     const auto left = work.deadline - now;
@@ -140,11 +143,13 @@
     std::vector<std::pair<double, request_id>> kept;
     std::vector<request_id> rejected;
     pool.queue.for_each(lowest, [&](const admission::queued_item& item) {
-        kept.emplace_back(item.cost_seconds, item.work.id);
-        std::push_heap(kept.begin(), kept.end());
         ahead += item.cost_seconds;
+        if (!continues(item.work)) {
+            kept.emplace_back(item.cost_seconds, item.work.id);
+            std::push_heap(kept.begin(), kept.end());
+        }
         const auto finish = (ahead - item.cost_seconds) / slots + item.cost_seconds;
-        if (finish <= to_seconds(item.work.deadline - now)) {
+        if (kept.empty() || finish <= to_seconds(item.work.deadline - now)) {
             return;
         }
         std::pop_heap(kept.begin(), kept.end());
@@ -339,7 +344,8 @@
     const auto lowest = lowest_waiting(target);
     const admission::queued_item* chosen = nullptr;
     const auto shed_before = [](const admission::queued_item& a, const admission::queued_item& b) {
-        return a.cost_seconds > b.cost_seconds;
+        return continues(a.work) == continues(b.work) ? a.cost_seconds > b.cost_seconds
+                                                      : continues(b.work);
     };
     for (const auto& [model, pool] : target.pools) {
         if (!lowest || pool.queue.size(*lowest) == 0) {
--- a/tests/unit-stream_versions.cpp
+++ b/tests/unit-stream_versions.cpp
@@ -152,6 +152,43 @@
     EXPECT_NE(f.granted.at(1).server, first.server);
 }
 
+TEST(GrantScheduler, StreamsThatWaitForOneVersionLeaveTheOtherToItsOwn) {
+    fixture f({versioned(1, "v1"), versioned(2, "v2")});
+    auto running = f.make(1, 1);
+    running.software = software("v1");
+    f.ask(running);
+    for (std::uint64_t sequence = 10; sequence < 30; ++sequence) {
+        auto waiting = f.make(sequence, 1);
+        waiting.software = software("v1");
+        f.ask(waiting);
+    }
+    auto other = f.make(50, 1);
+    other.software = software("v2");
+    other.deadline += seconds{5};
+    f.ask(other);
+    EXPECT_TRUE(f.granted.contains(50));
+    EXPECT_EQ(f.granted.size(), 2U);
+}
+
+// A costly stream that goes on isn't given up so that a new request finishes in time.
+TEST(GrantScheduler, AStreamThatGoesOnIsNotShedForNewRequests) {
+    fixture f({versioned(1, "v1")});
+    f.ask(f.make(1, tier_count - 1));
+    auto continued = f.make(2, tier_count - 1);
+    continued.repeated = true;
+    continued.max_output = {2'000};
+    f.ask(continued);
+    for (std::uint64_t sequence = 10; sequence < 60; ++sequence) {
+        auto fresh = f.make(sequence, tier_count - 1);
+        fresh.deadline = f.now + seconds{2};
+        f.ask(fresh);
+        f.now += milliseconds{25};
+        f.check_waiting();
+    }
+    EXPECT_FALSE(f.refused.contains(2));
+    EXPECT_FALSE(f.refused.empty()) << "there is more than one server can bear";
+}
+
 // LOST: of streams that are taken up at least half as many go on as new ones begin.
 TEST(GrantSchedulerReplay, StreamsAreTakenUpAsOftenAsNewOnesBeginUnderLoad) {
     fixture f({versioned(1, "v1", 2), versioned(2, "v1", 2), versioned(3, "v2", 2),
