A list without software versions restricts nothing

Found by the review, by reading. A list from an instance of an earlier version has no software versions; "none given" counted as a version, to which streams were bound and beside which the real one looked like a second. During an upgrade streams would have been refused for a minute.

Change: servers without a version have the id 0, which is neither recorded nor required.

--- a/include/tarragonspar/config/configuration.hpp
+++ b/include/tarragonspar/config/configuration.hpp
@@ -46,7 +46,7 @@
     friend bool operator==(const server&, const server&) = default;
 };
 
-/// @brief Returns the id of a server's software version.
+/// @brief Returns the id of a server's software version; 0: it isn't given.
 [[nodiscard]] software_id software_of(const server& value) noexcept;
 
 /// @brief Limit on the queued and running requests of one workspace at an owner.
--- a/include/tarragonspar/dispatch/stream_versions.hpp
+++ b/include/tarragonspar/dispatch/stream_versions.hpp
@@ -75,6 +75,11 @@
     /// @brief Whether servers of several versions of a service were listed while streams last.
     [[nodiscard]] bool has_several(model_id service, time_point now) const;
 
+    /// @brief Whether any recent list gave the software versions of servers.
+    [[nodiscard]] bool has_versions() const noexcept {
+        return !versions_.empty();
+    }
+
     /// @brief Decides which software version may get a request.
     [[nodiscard]] version_choice choose(const work_item& work, time_point now) const;
 
--- a/include/tarragonspar/gateway/control_link.hpp
+++ b/include/tarragonspar/gateway/control_link.hpp
@@ -90,6 +90,10 @@
     /// @brief Whether this instance has known servers of several software versions of a service
     /// while streams last.
     [[nodiscard]] bool has_several_versions(model_id service) const;
+    /// @brief Whether the list of servers gives software versions.
+    [[nodiscard]] bool has_versions() const {
+        return local_scheduler_->streams().has_versions();
+    }
     /// @brief Returns the software version of a listed server.
     [[nodiscard]] std::optional<software_id> find_software(server_id server) const;
 
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -78,7 +78,7 @@
 }
 
 software_id software_of(const server& value) noexcept {
-    return {hash_name(value.software_version)};
+    return {value.software_version.empty() ? 0 : hash_name(value.software_version)};
 }
 
 void to_json(nlohmann::json& out, const profile& value) {
--- a/src/dispatch/stream_versions.cpp
+++ b/src/dispatch/stream_versions.cpp
@@ -73,7 +73,11 @@
             return now - item.second.last_listed >= version_memory;
         });
     }
+    std::erase_if(versions_, [](const auto& item) { return item.second.empty(); });
     for (const auto& server : listed) {
+        if (server.software_version.empty()) {
+            continue;
+        }
         for (const auto& name : server.offers) {
             versions_[{hash_name(name)}][software_of(server)] = {.last_listed = now,
                                                                  .is_listed = true};
@@ -103,10 +107,13 @@
     if (const auto recorded = find(work.resumed_stream, now)) {
         return {.source = version_source::recorded, .software = *recorded};
     }
-    const auto found = versions_.find(work.model);
-    if (work.several_versions || found == versions_.end() || has_several(work.model, now)) {
+    if (work.several_versions || has_several(work.model, now)) {
         return {.source = version_source::unknown, .software = {}};
     }
+    const auto found = versions_.find(work.model);
+    if (found == versions_.end()) {
+        return {.source = version_source::any, .software = {}};
+    }
     const auto& versions = found->second;
     const auto only = std::find_if(versions.begin(), versions.end(),
                                    [](const auto& item) { return item.second.is_listed; });
