Tests: the place asked for meanwhile is free, not only some place

Cause: the case for a quiet server that goes on passed on the code before its fix as well: the scheduler had counted one place too many at one server and one too few at the other. Change: it checks which server the next request reaches. One check of the cut-off case compared times and is left out: tests have no timed assertions.

--- a/tests/unit-deployment_stream.cpp
+++ b/tests/unit-deployment_stream.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <future>
 
 #include <gtest/gtest.h>
@@ -241,6 +242,15 @@
     quiet_over = true;
     EXPECT_EQ(quiet.get(), 200U);
     EXPECT_EQ(arrivals(), 3U) << "nothing was sent twice";
+    for (const auto* server : {&one, &two}) {
+        const auto seen = server->seen();
+        const auto has = [&](const std::string& target) {
+            return std::any_of(seen.begin(), seen.end(), [&](const received_request& request) {
+                return request.start.ends_with(target);
+            });
+        };
+        EXPECT_FALSE(has("/quiet") && has("/next")) << "that server is taken, the other one free";
+    }
 }
 
 TEST(Deployment, AStalledStreamThatMayNotBeResumedIsAborted) {
