What continues gives way to more urgent requests that are late

Cause: a request that continues was not refused for its lateness at all. While one waited in the least urgent tier, nothing was refused there or above, since a more urgent tier is not shed while a less urgent one is queued; all waited until they were late.

Change: it may wait as long as a new request of its kind, from when it was queued, and is refused before more urgent ones that are late or would wait too long. Within its tier and rank it still comes before new ones.

Test: GrantScheduler.WhatContinuesGivesWayToMoreUrgentRequestsThatAreLate.

--- a/include/tarragonspar/admission/tier_queue.hpp
+++ b/include/tarragonspar/admission/tier_queue.hpp
@@ -18,6 +18,7 @@
     work_item work;
     double cost_seconds{}; ///< predicted time on a backend server, for fairness and wait estimates
     int failed_dispatches{}; ///< dispatches that ended before the first byte was written
+    time_point queued_at{};
 };
 
 /// @brief Limits of one queue.
@@ -64,9 +65,13 @@
     [[nodiscard]] std::vector<const queued_item*>
     candidates(tier max_tier, std::size_t limit, time_point now = time_point::min()) const;
 
-    /// @brief Returns the request of the least urgent tier and rank that is due last, or null.
+    /// @brief Returns the request of the least urgent tier and rank that is due last, or null; one
+    /// that continues only if there are no others.
     [[nodiscard]] const queued_item* latest_due_of_lowest_tier() const;
 
+    /// @brief Returns the last due of the least urgent requests that don't continue, or null.
+    [[nodiscard]] const queued_item* latest_due_new() const;
+
     /// @brief Removes an item that is about to be dispatched and charges its workspace.
     std::optional<queued_item> dequeue(const request_id& id);
 
@@ -99,7 +104,8 @@
     [[nodiscard]] std::size_t size(tier which) const noexcept;
 
     /// @brief Returns the predicted work, in seconds, of the items up to and including a tier,
-    /// which would be served before a new request of that tier, without those that continue.
+    /// which would be served before a new request of that tier, without those that need one
+    /// software version.
     [[nodiscard]] double work_ahead(tier which) const noexcept;
 
     /// @brief Returns the number of workspaces with state, waiting or recently served.
--- a/src/admission/tier_queue.cpp
+++ b/src/admission/tier_queue.cpp
@@ -28,10 +28,10 @@
     return work.objective == time_point{} ? work.deadline : work.objective;
 }
 
-/// Returns an item's part of the work that new requests wait for. Requests that continue are few
-/// and often need servers that new ones can do without.
+/// Returns an item's part of the work that new requests wait for. Requests that need one software
+/// version may wait for servers that new ones can do without.
 double new_work_seconds(const queued_item& item) {
-    return continues(item.work) ? 0.0 : item.cost_seconds;
+    return item.work.software != software_id{} ? 0.0 : item.cost_seconds;
 }
 
 std::size_t level_of(const work_item& work) {
@@ -236,6 +236,15 @@
     return lowest == nullptr ? nullptr : lowest->order.rbegin()->second;
 }
 
+const queued_item* tier_queue::latest_due_new() const {
+    for (auto level = levels_.rbegin(); level != levels_.rend(); ++level) {
+        if (!level->order.empty() && !continues(level->order.rbegin()->second->work)) {
+            return level->order.rbegin()->second;
+        }
+    }
+    return nullptr;
+}
+
 const queued_item* tier_queue::find(const request_id& id) const {
     const auto found = items_.find(id);
     return found == items_.end() ? nullptr : &found->second;
--- a/src/dispatch/scheduler.cpp
+++ b/src/dispatch/scheduler.cpp
@@ -87,14 +87,15 @@
     });
 }
 
-void enqueue(scheduler& target, work_item work, int failed_dispatches) {
+void enqueue(scheduler& target, work_item work, int failed_dispatches, time_point now) {
     if (!work.avoid.empty() && !has_alternative(target, work)) {
         work.avoid.clear(); // a server that has failed once is better than none
     }
     auto& pool = pool_of(target, work.model);
     pool.queue.push({.work = work,
                      .cost_seconds = detail::service_seconds(target, work),
-                     .failed_dispatches = failed_dispatches});
+                     .failed_dispatches = failed_dispatches,
+                     .queued_at = now});
     target.queued_model.emplace(work.id, work.model);
 }
 
@@ -162,7 +163,7 @@
         update_peak(pool_of(target, work.model).top_tier, +1,
                     target.options.reserve_decay_per_second, now);
     }
-    enqueue(target, work, 0);
+    enqueue(target, work, 0, now);
     if (target.draining) {
         detail::drain_queue(target, now, effects);
         return;
@@ -207,7 +208,7 @@
         effects.emplace_back(refuse{
             .id = input.id, .why = reason::no_server, .retry_after = std::chrono::seconds{2}});
     } else {
-        enqueue(target, item.work, attempts);
+        enqueue(target, item.work, attempts, now);
     }
     detail::dispatch_ready(target, now, effects);
     enforce_bound(target, now, effects);
--- a/src/dispatch/shedding.cpp
+++ b/src/dispatch/shedding.cpp
@@ -248,6 +248,28 @@
     return from_seconds(to_seconds(work.objective - work.arrival) * source.options.late_tolerance);
 }
 
+/// Whether a request has waited longer than its objective tolerates. That of a request that
+/// continues was for its first event, so its length counts from the moment at which it was queued.
+bool is_late(const scheduler& source, const admission::queued_item& item, time_point now) {
+    const auto& work = item.work;
+    if (work.objective == time_point{}) {
+        return false;
+    }
+    const auto allowed = work.objective - work.arrival + late_tolerance(source, work);
+    return now > (continues(work) ? item.queued_at : work.arrival) + allowed;
+}
+
+/// Whether requests of a more urgent tier are late, so that less urgent ones must give way.
+bool has_late_above(const scheduler& source, const model_pool& pool, tier lowest, time_point now) {
+    bool found = false;
+    for (std::uint8_t level = 0; level < lowest.value; ++level) {
+        pool.queue.for_each({level}, [&](const admission::queued_item& item) {
+            found = found || is_late(source, item, now);
+        });
+    }
+    return found;
+}
+
 /// Returns the longest predicted wait with which a request stays queued.
 double max_wait(const scheduler& source, const work_item& work) {
     const auto& options = source.options;
@@ -278,11 +300,10 @@
         if (!lowest) {
             continue;
         }
+        const auto crowded = has_late_above(target, pool, *lowest, now);
         pool.queue.for_each(*lowest, [&](const admission::queued_item& item) {
-            const auto& work = item.work;
-            if (work.objective != time_point{} && !continues(work) &&
-                now > work.objective + late_tolerance(target, work)) {
-                late.push_back(work.id);
+            if (is_late(target, item, now) || (crowded && continues(item.work))) {
+                late.push_back(item.work.id);
             }
         });
     }
@@ -368,12 +389,13 @@
     }
     const auto& pool = target.pools.at(model);
     while (pool.queue.size() > 1) {
-        const auto& last_due = pool.queue.latest_due_of_lowest_tier()->work;
-        if (continues(last_due) ||
-            predicted_wait(target, pool, model) <= max_wait(target, last_due)) {
+        const auto* last_new = pool.queue.latest_due_new();
+        if (last_new == nullptr ||
+            predicted_wait(target, pool, model) <= max_wait(target, last_new->work)) {
             return;
         }
-        refuse_queued(target, last_due.id, reason::overloaded, now, effects);
+        const auto id = pool.queue.latest_due_of_lowest_tier()->work.id;
+        refuse_queued(target, id, reason::overloaded, now, effects);
     }
 }
 
--- a/tests/unit-grant_scheduler_waiting.cpp
+++ b/tests/unit-grant_scheduler_waiting.cpp
@@ -109,6 +109,27 @@
     EXPECT_FALSE(f.granted.contains(4));
 }
 
+// It stayed in the least urgent tier, so that nothing more urgent was refused in time.
+TEST(GrantScheduler, WhatContinuesGivesWayToMoreUrgentRequestsThatAreLate) {
+    fixture f({make_server(1)});
+    f.ask(f.make(1, 0));
+    auto continued = f.make(2, 2);
+    continued.objective = f.now + milliseconds{400};
+    f.now += milliseconds{1'000};
+    continued.repeated = true;
+    f.ask(continued, previous_grant::server_failed);
+    f.check_waiting();
+    EXPECT_FALSE(f.refused.contains(2)) << "its objective is over, but it has just been queued";
+    auto urgent = f.make(3, 0);
+    urgent.objective = f.now + milliseconds{200};
+    f.ask(urgent);
+    f.now += milliseconds{400};
+    f.check_waiting();
+    EXPECT_EQ(f.refused.at(2).why, reason::overloaded);
+    f.check_waiting();
+    EXPECT_EQ(f.refused.at(3).why, reason::overloaded);
+}
+
 TEST(GrantScheduler, RequestsThatContinueLeaveOtherServersToNewOnes) {
     fixture f({make_server(1, 8), make_server(2, 1)});
     for (std::uint64_t sequence = 1; sequence <= 8; ++sequence) {
