--- a/include/tarragonspar/dispatch/detail/server_events.hpp
+++ b/include/tarragonspar/dispatch/detail/server_events.hpp
@@ -7,7 +7,7 @@
 
 namespace tarragonspar::dispatch::detail {
 
-/// @brief Whether any active owned server offers the model.
+/// @brief Whether any active owned server may get a request.
 [[nodiscard]] bool has_server(const scheduler& source, const work_item& work);
 
 /// @brief Returns the earliest end of the backoffs that the servers of a request asked of its
--- a/include/tarragonspar/dispatch/grant_scheduler.hpp
+++ b/include/tarragonspar/dispatch/grant_scheduler.hpp
@@ -19,7 +19,7 @@
     server_id server;
     std::string server_name; ///< the platform's name of the server
     std::string address;     ///< `IP:port`
-    software_id software;    ///< 0: granted by an instance of an earlier version
+    software_id software;    ///< 0: not listed, or granted by an earlier version
 };
 
 /// @brief Refusal of a request: it must not be sent to any server.
--- a/include/tarragonspar/dispatch/stream_versions.hpp
+++ b/include/tarragonspar/dispatch/stream_versions.hpp
@@ -4,7 +4,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -29,21 +28,6 @@
     unknown,  ///< the service has servers of several versions, and it isn't recorded which began it
 };
 
-/// @brief Returns the name of a source, as in logs and metrics.
-[[nodiscard]] constexpr std::string_view to_string(version_source value) noexcept {
-    switch (value) {
-    case version_source::any:
-        return "any";
-    case version_source::recorded:
-        return "recorded";
-    case version_source::only:
-        return "only";
-    case version_source::unknown:
-        break;
-    }
-    return "unknown";
-}
-
 /// @brief The software version that may continue a request's stream, and how it is known.
 struct version_choice {
     version_source source{version_source::any};
@@ -91,10 +75,6 @@
     /// @param after  number of the last one that the receiver has; 0: none
     [[nodiscard]] own_origins own_after(std::uint64_t after, time_point now) const;
 
-    [[nodiscard]] std::size_t size() const noexcept {
-        return streams_.size();
-    }
-
 private:
     struct known_stream {
         software_id software;
