A success without the server's signature is not forwarded

Cause: read_metadata decodes the signature, and no code asked for it. Ruled out: a signature lost on the way (the servers that spoil an answer don't sign it). Not only buffered answers were concerned: all framings, all kinds of route, and the rest of a stream at another server.

Change: judge_answer rejects a success without exactly one signature. A request that may run twice goes to another server, any other gets 502. One log line for answers that are not forwarded, with why, id and server, and a counter by why.

--- a/include/tarragonspar/gateway/detail/replies.hpp
+++ b/include/tarragonspar/gateway/detail/replies.hpp
@@ -9,6 +9,7 @@
 namespace tarragonspar::gateway::detail {
 
 inline constexpr unsigned status_ok = 200;
+inline constexpr unsigned status_redirection = 300;
 inline constexpr unsigned status_client_error = 400;
 inline constexpr unsigned status_unauthorized = 401;
 inline constexpr unsigned status_not_found = 404;
--- a/include/tarragonspar/telemetry/metrics.hpp
+++ b/include/tarragonspar/telemetry/metrics.hpp
@@ -88,6 +88,10 @@
 
     /// @brief Counts bytes of documents that were sent to another instance.
     void count_document_bytes(std::size_t bytes);
+    /// @brief Counts an answer of a backend server that is not forwarded.
+    /// @param why  as in the log line of such an answer
+    void count_rejected_answer(std::string_view why);
+
     /// @brief Counts a stream that a caller takes up.
     /// @param version  what is known of the software version that began it
     void count_stream_taken_up(std::string_view version);
@@ -124,6 +128,7 @@
     prometheus::Family<prometheus::Histogram>* disk_writes_;
     prometheus::Family<prometheus::Histogram>* query_waits_;
     prometheus::Counter* document_bytes_;
+    prometheus::Family<prometheus::Counter>* rejected_answers_;
     prometheus::Family<prometheus::Counter>* streams_taken_up_;
     std::size_t max_workspaces_;
     std::mutex mutex_;
--- a/src/gateway/answer_verdict.cpp
+++ b/src/gateway/answer_verdict.cpp
@@ -12,6 +12,10 @@
            status == status_too_many || status == status_unavailable;
 }
 
+bool is_success(unsigned status) noexcept {
+    return status >= status_ok && status < status_redirection;
+}
+
 } // namespace
 
 answer_verdict judge_answer(unsigned status, const answer_metadata& metadata,
@@ -28,8 +32,27 @@
     if (metadata.not_executed && status < status_client_error) {
         return answer_verdict::unclear;
     }
+    if (is_success(status) && !metadata.signed_by_server) {
+        return answer_verdict::unsigned_success;
+    }
     return is_promise(status) && !request.work.idempotent ? answer_verdict::unclear
                                                           : answer_verdict::answers;
 }
 
+std::string_view to_string(answer_verdict verdict) noexcept {
+    switch (verdict) {
+    case answer_verdict::answers:
+        return "answers";
+    case answer_verdict::declines:
+        return "declines";
+    case answer_verdict::foreign:
+        return "foreign";
+    case answer_verdict::unclear:
+        return "unclear";
+    case answer_verdict::unsigned_success:
+        return "unsigned";
+    }
+    return "unknown";
+}
+
 } // namespace tarragonspar::gateway::detail
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -249,13 +249,14 @@
         co_return attempt_end::not_executed;
     }
     if (verdict != answer_verdict::answers) {
-        const auto* event =
-            verdict == answer_verdict::foreign ? "answer_of_another_request" : "answer_unclear";
-        telemetry::write(telemetry::log_line(event)
+        metrics_.count_rejected_answer(to_string(verdict));
+        telemetry::write(telemetry::log_line("answer_rejected")
                              .add("id", request->caller.name)
+                             .add("why", to_string(verdict))
                              .add("answered", metadata.request_name)
                              .add("status", head->status)
-                             .add("server", at.server_name));
+                             .add("server", at.server_name)
+                             .add("service", request->service));
         co_return attempt_end::failed;
     }
     if (is_event_stream(*head)) {
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -84,6 +84,8 @@
       document_bytes_(&counter_family(*registry_, "tarragonspar_document_bytes_sent_total",
                                       "Bytes of documents sent to other instances")
                            ->Add({})),
+      rejected_answers_(counter_family(*registry_, "tarragonspar_rejected_answers_total",
+                                       "Answers of backend servers that were not forwarded")),
       streams_taken_up_(
           counter_family(*registry_, "tarragonspar_streams_taken_up_total",
                          "Streams that callers take up, by what is known of their version")),
@@ -191,6 +193,10 @@
     document_bytes_->Increment(static_cast<double>(bytes));
 }
 
+void metrics::count_rejected_answer(std::string_view why) {
+    rejected_answers_->Add({{"why", std::string(why)}}).Increment();
+}
+
 void metrics::count_stream_taken_up(std::string_view version) {
     streams_taken_up_->Add({{"version", std::string(version)}}).Increment();
 }
