An answer with a content coding is not forwarded

Callers got bodies with a Content-Encoding, which the protocol says are not the server's body; nobody has reported it. Found by asking what else the protocol demands of an answer that counts.

Cause: as with the signature, a condition that decides nothing; here it was not even decoded.

Change: judge_answer rejects such an answer, of any status (why=encoded): another server is asked where the request may run twice, else 502. A statement that the request was not run still counts.

--- a/include/tarragonspar/gateway/detail/answer_verdict.hpp
+++ b/include/tarragonspar/gateway/detail/answer_verdict.hpp
@@ -13,6 +13,7 @@
     declines,         ///< the server states that it did not run the request
     foreign,          ///< it does not name the request, which may have run
     unclear,          ///< forwarded, it would tell the caller what the server has not stated
+    encoded,          ///< its body has a content coding and is not what the server answers
     unsigned_success, ///< it reports a success, but the server did not sign it
 };
 
--- a/include/tarragonspar/gateway/dialect.hpp
+++ b/include/tarragonspar/gateway/dialect.hpp
@@ -50,6 +50,7 @@
     std::string request_name;     ///< id of the request that it answers; empty: not given
     bool not_executed{false};     ///< the server did not run the request
     bool signed_by_server{false}; ///< it has the signature by which callers know a server's answer
+    bool encoded{false};          ///< its body has a content coding, which callers don't request
     bool server_draining{false};  ///< the server shuts down soon and accepts no further work
     /// Time for which this instance must not send to the server; only in refusals.
     std::optional<duration> requested_backoff;
--- a/src/gateway/answer_verdict.cpp
+++ b/src/gateway/answer_verdict.cpp
@@ -35,6 +35,9 @@
     if (is_success(status) && !metadata.signed_by_server) {
         return answer_verdict::unsigned_success;
     }
+    if (metadata.encoded) {
+        return answer_verdict::encoded;
+    }
     return is_promise(status) && !request.work.idempotent ? answer_verdict::unclear
                                                           : answer_verdict::answers;
 }
@@ -49,6 +52,8 @@
         return "foreign";
     case answer_verdict::unclear:
         return "unclear";
+    case answer_verdict::encoded:
+        return "encoded";
     case answer_verdict::unsigned_success:
         return "unsigned";
     }
--- a/tests/unit-deployment_unsigned_answers.cpp
+++ b/tests/unit-deployment_unsigned_answers.cpp
@@ -69,3 +69,23 @@
     EXPECT_FALSE(got.complete);
     EXPECT_EQ(table.arrivals(0), 3);
 }
+
+// Callers request bodies without a content coding, so an encoded one is not the server's body.
+TEST(UnsignedAnswer, AnAnswerWithAContentCodingIsNotForwarded) {
+    std::vector<row> not_repeated;
+    std::vector<row> repeated;
+    for (const std::string coding : {"gzip", "identity", ""}) {
+        const auto headers = own + "Content-Encoding: " + coding + "\r\n";
+        auto answers = successes(headers);
+        answers.push_back({"error", answer("500 Failed", headers)});
+        answers.push_back({"client error", answer("404 Not Found", headers)});
+        for (const auto& answer : answers) {
+            not_repeated.push_back({answer, "502, 1"});
+            repeated.push_back({answer, "200 second, 2"});
+        }
+    }
+    expect_results({"unsafe", "once"}, not_repeated);
+    expect_results({"safe", "resumable"}, repeated);
+    const auto refusal = answer("503 Busy", own + declined + "Content-Encoding: gzip\r\n");
+    expect_results({"unsafe", "safe"}, {{{"declined", refusal}, "200 second, 2"}});
+}
