A service's answer that is reset under its upload is not complete

In the product's own protocol, the part of an answer without a length that a service sent before it reset a connection with a pending upload was answered as complete.

Cause: run_upstream_request ignored the result of the write for plain services. The write received the reset, the read an orderly end.

Change: run_service gets that result and applies the rule of backend_call (is_cut_off, one copy).

Tests: EngineClientUpload, two cases; AResetOfTheUploadBreaksAnAnswerWithoutLength fails with the check switched off ("body, complete" instead of ", unknown").

--- a/include/tarragonspar/http/backend_call.hpp
+++ b/include/tarragonspar/http/backend_call.hpp
@@ -106,11 +106,8 @@
     void continue_upload();
     boost::asio::awaitable<bool> read_one_head();
 
-    /// @brief Returns the error that ended a read, or the upload's if that is the cause: a
-    /// connection reports an error once, and if the upload receives it, a later read sees an
-    /// orderly end.
+    /// @brief Returns the error that ended a read, or the upload's if that is the cause.
     [[nodiscard]] boost::beast::error_code cause_of(const boost::beast::error_code& error) const;
-    [[nodiscard]] bool is_upload_cut_off() const;
 
     backend_call_options options_;
     boost::asio::ip::tcp::socket socket_;
@@ -125,6 +122,12 @@
     bool lost_{false};
 };
 
+/// @brief Whether the result of sending a request makes the end of the connection no end of a
+/// response without a length. A connection reports an error once: if sending receives it, a later
+/// read sees an orderly end. After a broken pipe the end is orderly, since the server had ended its
+/// response before it reset the connection.
+[[nodiscard]] bool is_cut_off(const boost::beast::error_code& sent) noexcept;
+
 /// @brief Whether a status code is one of HTTP's classes, 100 to 599. A response with another one
 /// is no answer (RFC 9110, section 15).
 [[nodiscard]] bool is_valid_status(unsigned status) noexcept;
--- a/src/http/backend_call.cpp
+++ b/src/http/backend_call.cpp
@@ -80,6 +80,10 @@
     return status >= first && status <= last;
 }
 
+bool is_cut_off(const beast::error_code& sent) noexcept {
+    return sent && sent != asio::error::broken_pipe;
+}
+
 std::string answer_head::header(std::string_view name) const {
     for (const auto& [known, value] : headers) {
         if (beast::iequals(known, beast::string_view(name.data(), name.size()))) {
@@ -162,13 +166,8 @@
     upload_error_ = error;
 }
 
-bool backend_call::is_upload_cut_off() const {
-    // Broken pipe: the server had ended its response in order before it reset the connection.
-    return upload_error_ && upload_error_ != asio::error::broken_pipe;
-}
-
 beast::error_code backend_call::cause_of(const beast::error_code& error) const {
-    return is_end_of_file(error) && is_upload_cut_off() ? upload_error_ : error;
+    return is_end_of_file(error) && is_cut_off(upload_error_) ? upload_error_ : error;
 }
 
 asio::awaitable<bool> backend_call::read_one_head() {
@@ -244,7 +243,7 @@
     body.data = nullptr;
     body.size = 0;
     const auto ends_with_connection = !error && parser_->is_done() && parser_->need_eof();
-    if (ends_with_connection && is_upload_cut_off()) {
+    if (ends_with_connection && is_cut_off(upload_error_)) {
         error = upload_error_;
     }
     part.complete = !error && parser_->is_done();
--- a/src/http/engine_client.cpp
+++ b/src/http/engine_client.cpp
@@ -347,9 +347,11 @@
     }
 }
 
+/// @param sent  result of sending the request
 asio::awaitable<void> run_service(const engine_client_options& options,
                                   const upstream_request& request,
-                                  const upstream_callbacks& callbacks, beast::tcp_stream& stream) {
+                                  const upstream_callbacks& callbacks, beast::tcp_stream& stream,
+                                  beast::error_code sent) {
     beast::flat_buffer buffer(max_unread_bytes + read_bytes);
     stream.expires_after(options.service_timeout);
     const auto parser =
@@ -359,6 +361,9 @@
         std::tie(error, std::ignore) =
             co_await beast_http::async_read(stream, buffer, *parser, as_result);
     }
+    if (!error && parser->need_eof() && is_cut_off(sent)) {
+        error = sent;
+    }
     if (error) {
         co_await report_unknown(callbacks, reason::server_lost);
         co_return;
@@ -414,7 +419,7 @@
     stream.expires_after(options.read_timeout);
     const auto [error, size] = co_await beast_http::async_write(stream, message, as_result);
     if (request.call.plain) {
-        co_await run_service(options, request, callbacks, stream);
+        co_await run_service(options, request, callbacks, stream, error);
         co_return upstream_end::finished;
     }
     answer_reader reader{.options = options,
--- a/tests/unit-backend_call_upload.cpp
+++ b/tests/unit-backend_call_upload.cpp
@@ -13,6 +13,7 @@
 
 #include "pending_upload.hpp"
 #include "tarragonspar/http/backend_call.hpp"
+#include "tarragonspar/http/engine_client.hpp"
 
 // A server may answer before it has read a long request. If it then resets the connection, an
 // answer without a length must not look complete, although the upload receives the error.
@@ -57,11 +58,13 @@
     call->close();
 }
 
-/// Sends an upload to a server that accepts it with a small receive buffer.
+using script = std::function<void(asio::ip::tcp::socket&)>;
+
+/// Runs a call to a server that accepts uploads with a small receive buffer.
 /// @param answer  called with the server's socket, from which nothing has been read
-call_result run_upload(const std::function<void(asio::ip::tcp::socket&)>& answer,
-                       const http::backend_call_options& options = {},
-                       std::chrono::milliseconds stall = {}) {
+/// @param call    called with the server's port
+void run_with_server(const script& answer,
+                     const std::function<asio::awaitable<void>(std::uint16_t)>& call) {
     asio::io_context context;
     asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
     acceptor.set_option(asio::socket_base::receive_buffer_size(small_receive_buffer));
@@ -71,11 +74,42 @@
         answer(socket);
     });
     asio::io_context client;
-    call_result out;
-    asio::co_spawn(client, upload(acceptor.local_endpoint().port(), options, stall, out),
-                   asio::detached);
+    asio::co_spawn(client, call(acceptor.local_endpoint().port()), asio::detached);
     client.run();
     server.join();
+}
+
+call_result run_upload(const script& answer, const http::backend_call_options& options = {},
+                       std::chrono::milliseconds stall = {}) {
+    call_result out;
+    run_with_server(answer, [&](std::uint16_t port) { return upload(port, options, stall, out); });
+    return out;
+}
+
+/// Sends an upload to a service of the product's own protocol. Returns the answer that its caller
+/// gets.
+std::string run_service_upload(const script& answer) {
+    std::string out;
+    http::upstream_callbacks callbacks;
+    callbacks.acquire_right = []() -> asio::awaitable<bool> { co_return true; };
+    callbacks.deliver = [&](dispatch::answer_event event) -> asio::awaitable<bool> {
+        if (const auto* piece = std::get_if<dispatch::answer_piece>(&event)) {
+            out += piece->text;
+        } else if (const auto* last = std::get_if<dispatch::answer_finished>(&event)) {
+            out += last->result == outcome::answered ? ", complete" : ", unknown";
+        }
+        co_return true;
+    };
+    run_with_server(answer, [&](std::uint16_t port) -> asio::awaitable<void> {
+        http::upstream_request request;
+        request.address = "127.0.0.1:" + std::to_string(port);
+        request.call.method = "POST";
+        request.call.target = "/";
+        request.call.body = std::string(upload_bytes, 'u');
+        request.call.plain = true;
+        const http::engine_client_options options;
+        co_await http::run_upstream_request(options, std::move(request), std::move(callbacks));
+    });
     return out;
 }
 
@@ -151,7 +185,7 @@
             received += socket.read_some(asio::buffer(bytes), error);
         }
     };
-    const std::vector<std::function<void(asio::ip::tcp::socket&)>> servers{
+    const std::vector<script> servers{
         [&](auto& socket) {
             write(socket, unframed);
             end(socket);
@@ -182,6 +216,32 @@
     }
 }
 
+// The product's own protocol: the request is written before the answer is read.
+TEST(EngineClientUpload, AResetOfTheUploadBreaksAnAnswerWithoutLength) {
+    EXPECT_EQ(run_service_upload([](asio::ip::tcp::socket& socket) {
+                  write(socket, unframed);
+                  expect_pending(socket);
+                  reset(socket);
+              }),
+              ", unknown");
+}
+
+TEST(EngineClientUpload, AWholeAnswerIsCompleteAfterAResetOfTheUpload) {
+    EXPECT_EQ(run_service_upload([](asio::ip::tcp::socket& socket) {
+                  write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+                  expect_pending(socket);
+                  reset(socket);
+              }),
+              "body, complete");
+    EXPECT_EQ(run_service_upload([](asio::ip::tcp::socket& socket) {
+                  write(socket, unframed);
+                  expect_pending(socket);
+                  socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+                  reset(socket);
+              }),
+              "body, complete");
+}
+
 // The server gets every byte of an upload that it reads late and slowly.
 TEST(BackendCallUpload, AnUploadThatIsReadLateArrivesWhole) {
     std::string received;
