The log tells how a server's answer broke

From a request's id on-call could see that an answer failed and at which server, not how: a reset, a time-out and bytes that are no HTTP looked alike, and nothing told whether the request was still being uploaded, which the last two faults turned on.

Change: answer_broken with the error of the connection, the status and whether the upload was incomplete; counted as broken in tarragonspar_rejected_answers_total. backend_call keeps the error of its last read, from which was_lost follows as before.

--- a/include/tarragonspar/gateway/entry_instance.hpp
+++ b/include/tarragonspar/gateway/entry_instance.hpp
@@ -113,6 +113,10 @@
     boost::asio::awaitable<bool> wait_for_grant(request_ptr request,
                                                 dispatch::previous_grant previous);
     boost::asio::awaitable<attempt_end> attempt(request_ptr request, http::exchange& with);
+    /// @brief Records an answer whose connection failed before its end and returns how the attempt
+    /// ended.
+    /// @param status  of the answer; 0: its head did not arrive
+    [[nodiscard]] attempt_end end_of_broken_answer(const relayed_request& request, unsigned status);
     boost::asio::awaitable<attempt_end> forward_answer(request_ptr request, http::exchange& with,
                                                        http::answer_head head);
     boost::asio::awaitable<attempt_end>
--- a/include/tarragonspar/gateway/relayed_request.hpp
+++ b/include/tarragonspar/gateway/relayed_request.hpp
@@ -89,9 +89,4 @@
     }
 };
 
-/// @brief Returns how an attempt ended whose connection failed before the end of the answer.
-[[nodiscard]] inline attempt_end end_of_broken_answer(const relayed_request& request) {
-    return request.call->was_lost() ? attempt_end::server_lost : attempt_end::failed;
-}
-
 } // namespace tarragonspar::gateway
--- a/include/tarragonspar/http/backend_call.hpp
+++ b/include/tarragonspar/http/backend_call.hpp
@@ -91,13 +91,14 @@
 
     /// @brief Whether the server closed or reset the connection before its response was complete.
     /// False after a time-out, after bytes that are not valid HTTP, and if this side closed it.
-    [[nodiscard]] bool was_lost() const noexcept {
-        return lost_;
-    }
+    [[nodiscard]] bool was_lost() const noexcept;
+
+    /// @brief Returns why the last read failed, for logs.
+    [[nodiscard]] std::string failure() const;
 
-    /// @brief Whether a part of the request waits until the server reads more of it.
-    [[nodiscard]] bool is_uploading() const noexcept {
-        return uploading_;
+    /// @brief Whether a part of the request has not been written.
+    [[nodiscard]] bool is_upload_incomplete() const noexcept {
+        return upload_incomplete_;
     }
 
 private:
@@ -116,10 +117,10 @@
     std::unique_ptr<request_type> request_;
     std::unique_ptr<beast_http::request_serializer<beast_http::span_body<const char>>> serializer_;
     std::unique_ptr<beast_http::response_parser<beast_http::buffer_body>> parser_;
+    boost::beast::error_code read_error_;
     boost::beast::error_code upload_error_;
-    bool uploading_{false};
+    bool upload_incomplete_{false};
     bool head_request_{false};
-    bool lost_{false};
 };
 
 /// @brief Whether the result of sending a request makes the end of the connection no end of a
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -239,7 +239,7 @@
         co_return attempt_end::stopped;
     }
     if (!head) {
-        co_return end_of_broken_answer(*request);
+        co_return end_of_broken_answer(*request, 0);
     }
     const auto metadata = protocol_->read_metadata(*head);
     record_notices(*request, head->status, metadata);
--- a/src/gateway/relay_answer.cpp
+++ b/src/gateway/relay_answer.cpp
@@ -71,7 +71,7 @@
                 with.abort();
                 co_return attempt_end::stopped;
             }
-            co_return end_of_broken_answer(*request);
+            co_return end_of_broken_answer(*request, head.status);
         }
         complete = part.complete;
         body += part.bytes;
@@ -144,7 +144,7 @@
         const auto is_oversized = held.is_excessive(max_event);
         has_events = has_events || !events.empty();
         if (part.broken) {
-            co_return end_of_broken_answer(*request); // an incomplete event is dropped
+            co_return end_of_broken_answer(*request, head.status); // an incomplete event is dropped
         }
         // Every stream has an event; without a length only that tells a complete one from a crash.
         const auto is_empty = !has_events && !progress.after;
--- a/src/gateway/relay_record.cpp
+++ b/src/gateway/relay_record.cpp
@@ -56,6 +56,18 @@
 
 } // namespace
 
+attempt_end entry_instance::end_of_broken_answer(const relayed_request& request, unsigned status) {
+    metrics_.count_rejected_answer("broken");
+    telemetry::write(telemetry::log_line("answer_broken")
+                         .add("id", request.caller.name)
+                         .add("why", request.call->failure())
+                         .add("status", status)
+                         .add("upload_incomplete", request.call->is_upload_incomplete() ? 1 : 0)
+                         .add("server", request.current_grant->server_name)
+                         .add("service", request.service));
+    return request.call->was_lost() ? attempt_end::server_lost : attempt_end::failed;
+}
+
 asio::awaitable<void> entry_instance::check_lost_server(request_ptr request) {
     request->lost_server_fate = dispatch::server_fate::unknown;
     if (const auto address = settings::parse_endpoint(request->current_grant->address)) {
--- a/src/http/backend_call.cpp
+++ b/src/http/backend_call.cpp
@@ -142,7 +142,7 @@
     serializer_ =
         std::make_unique<beast_http::request_serializer<beast_http::span_body<const char>>>(
             *request_);
-    uploading_ = true;
+    upload_incomplete_ = true;
     continue_upload();
 }
 
@@ -162,7 +162,7 @@
     }
     // The server may have responded before it read the entire request, so a failure does not end
     // the call.
-    uploading_ = false;
+    upload_incomplete_ = static_cast<bool>(error);
     upload_error_ = error;
 }
 
@@ -180,7 +180,7 @@
         const auto space = buffer_.prepare(options_.read_bytes);
         const auto [error, size] = co_await socket_.async_read_some(space, detail::as_result);
         if (error) {
-            lost_ = is_ended_by_peer(cause_of(error));
+            read_error_ = cause_of(error);
             co_return false;
         }
         buffer_.commit(size);
@@ -193,7 +193,7 @@
     });
     const auto [error, size] =
         co_await beast_http::async_read_header(socket_, buffer_, *parser_, detail::as_result);
-    lost_ = is_ended_by_peer(cause_of(error));
+    read_error_ = cause_of(error);
     co_return !error;
 }
 
@@ -248,7 +248,7 @@
     }
     part.complete = !error && parser_->is_done();
     part.broken = static_cast<bool>(error);
-    lost_ = is_ended_by_peer(cause_of(error));
+    read_error_ = cause_of(error);
     co_return part;
 }
 
@@ -256,6 +256,14 @@
     return parser_->need_eof();
 }
 
+bool backend_call::was_lost() const noexcept {
+    return is_ended_by_peer(read_error_);
+}
+
+std::string backend_call::failure() const {
+    return read_error_ ? read_error_.message() : "not a valid response";
+}
+
 void backend_call::close() {
     boost::system::error_code ignored;
     socket_.close(ignored);
--- a/tests/unit-backend_call_upload.cpp
+++ b/tests/unit-backend_call_upload.cpp
@@ -31,6 +31,7 @@
     std::string body;
     bool complete{false};
     bool lost{false};
+    std::string failure;
     bool was_uploading{false}; ///< before the answer was read
 };
 
@@ -45,7 +46,7 @@
     EXPECT_TRUE(connected);
     call->send("POST", "/", {}, std::make_shared<const std::string>(upload_bytes, 'u'));
     std::this_thread::sleep_for(stall);
-    out.was_uploading = call->is_uploading();
+    out.was_uploading = call->is_upload_incomplete();
     const auto head = co_await call->read_head();
     bool more = head.has_value();
     while (more) {
@@ -55,6 +56,7 @@
         more = !part.broken && !part.complete;
     }
     out.lost = call->was_lost();
+    out.failure = call->failure();
     call->close();
 }
 
@@ -123,6 +125,10 @@
     socket.close();
 }
 
+std::string message_of(asio::error::basic_errors error) {
+    return boost::system::error_code(error).message();
+}
+
 void expect_pending(asio::ip::tcp::socket& socket) {
     EXPECT_LT(bytes_in_kernel(socket), upload_bytes) << "the upload was not pending";
 }
@@ -143,6 +149,7 @@
         EXPECT_TRUE(result.was_uploading) << stall;
         EXPECT_FALSE(result.complete) << stall;
         EXPECT_TRUE(result.lost) << stall;
+        EXPECT_EQ(result.failure, message_of(asio::error::connection_reset)) << stall;
     }
 }
 
@@ -159,6 +166,7 @@
     EXPECT_TRUE(result.was_uploading);
     EXPECT_FALSE(result.complete);
     EXPECT_FALSE(result.lost);
+    EXPECT_EQ(result.failure, message_of(asio::error::timed_out));
 }
 
 TEST(BackendCallUpload, AResetBeforeTheAnswerIsALossOfTheServer) {
