Tests: an upload whose connection is not listed is not pending

bytes_in_kernel returned 0 for a connection that the kernel doesn't list, and the assertion that the upload is pending would have passed without a look. It returns the largest number now, so the assertion fails.

--- a/tests/pending_upload.hpp
+++ b/tests/pending_upload.hpp
@@ -3,6 +3,7 @@
 // Uploads that a server does not read: how much of one is still in the hands of its sender.
 
 #include <fstream>
+#include <limits>
 #include <sstream>
 #include <string>
 
@@ -16,6 +17,7 @@
 /// @brief Returns the bytes that the kernel holds of what the peer sends on a connection between
 /// two sockets of this machine; all further ones are still in the hands of the sender.
 /// @param receiver  the receiving end
+/// @return the largest number if the connection is not listed
 inline std::size_t bytes_in_kernel(boost::asio::ip::tcp::socket& receiver) {
     const auto port_of = [](const std::string& address) {
         return std::stoul(address.substr(address.find(':') + 1), nullptr, 16);
@@ -37,7 +39,7 @@
             return receiver.available() + std::stoul(queues, nullptr, 16);
         }
     }
-    return 0;
+    return std::numeric_limits<std::size_t>::max();
 }
 
 } // namespace tarragonspar::testing
