Soak: a server counts as having said that it leaves once its answer does

Cause: the stand-in looks at its state twice, when it writes the head of a stream and when the stream has ended, 0.1 s later. The instance logged no notice of it then, and one at 15.90, for the first answer that had it. Ruled out: a notice that the instance ignored; it logs each one.

Change: the state at the head decides both. The check and its bound are as before, and as strict: each answer with the notice counts.

--- a/soak/servers.py
+++ b/soak/servers.py
@@ -94,7 +94,8 @@
             writer.transport.abort()
             return
         extra_headers = ["Response-Signature: s"]
-        if self.state == "leaving":
+        names_leaving = self.state == "leaving"  # it may begin to leave before the answer ends
+        if names_leaving:
             extra_headers.append("Server-Leaving: 1" if self.deployment.plant != "leaving"
                                  else "X-Nothing: 1")
         if "/stream/" in start or "/once/" in start:
@@ -105,7 +106,7 @@
                 body = answer_body("another", self.name)
             writer.write(self.response(request_id, 200, extra_headers, body))
             await writer.drain()
-        if self.state == "leaving":
+        if names_leaving:
             self.drain_notified.setdefault((entry.name, entry.start_count), time.monotonic())
 
     async def stream(self, writer, request_id, headers, extra_headers):
